Reread the configuration on SIGHUP, and move the watch and the notices with it

Checked and ruled out: that a handler alone would do. core/config.py let GW_DISCOVERY, which a process keeps from its start, prevail over the file, so a reread would have kept the old address. transport_map.py's watch(False) then watch(True) starts nothing, as the cancelled task is not done yet; and after failures at the old address the module's back-off (up to 2.5 s) would have eaten most of the 4 s.

At fault: runtime.py serve(), agent.py serve() (it would have left its instances running), config.py's order. Now the file is read again; a bad one is logged and changes nothing. The map asks the new address for its whole list at once, with its own short pause for 4 s instead of the module's back-off. Notices under way or owed go to the new address. Clients and attempts are not touched. The same for an operator's file (AMQP users, heartbeat, exchange, notices, next hops) and for the agent, which starts, stops and passes SIGHUP on.

--- a/mountgauge/agent.py
+++ b/mountgauge/agent.py
@@ -23,6 +23,7 @@
 _STEADY = 30.0  # s up after which a crash counts as the first again
 _STOP_LIMIT = 5.0  # s from SIGTERM to SIGKILL; an instance ends by itself before 3.7 s
 _BAD_CONFIG = 2
+_READY = 2.0  # s in which a started instance surely heeds SIGHUP
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +64,7 @@
     """STARTING or RUNNING, BACKING-OFF after a crash, STOPPED or FAILED (it cannot use its file)."""
 
     def __init__(self, name: str, command: list[str]) -> None:
-        self.name, self._command = name, command
+        self.name, self.command = name, command
         self.state, self.restarts = "starting", 0
         self.exit: int | None = None
         self.since = time.time()
@@ -82,7 +83,7 @@
         delay = _BACK_OFF
         while not self._stopping:
             try:
-                self._process = await asyncio.create_subprocess_exec(*self._command)
+                self._process = await asyncio.create_subprocess_exec(*self.command)
             except OSError as error:
                 log.error("not-started", extra=kv(name=self.name, error=error))
                 self.exit = None
@@ -119,6 +120,15 @@
         if self.state != "failed":
             self._become("stopped")
 
+    async def reload(self) -> None:
+        """Pass SIGHUP on; one that could not use its file is tried again."""
+        if self.state == "failed":
+            self.start()
+        elif (process := self._process) is not None:
+            await asyncio.sleep(self.since + _READY - time.time())  # it must have its handler by then
+            if process is self._process:
+                process.send_signal(signal.SIGHUP)
+
     def report(self) -> Mapping[str, Any]:
         return {
             "name": self.name, "state": self.state, "restarts": self.restarts, "exit": self.exit,
@@ -129,10 +139,34 @@
 class Agent:
     def __init__(self, file: AgentFile) -> None:
         self.listen = file.listen
-        command = [sys.executable, "-m", "mountgauge", "run"]
-        self.instances = [Instance(one.config.name, [*command, str(one.path)]) for one in file.instances]
+        self.instances = [self._instance(one) for one in file.instances]
         self.status = StatusServer(lambda: {"instances": [one.report() for one in self.instances]})
 
+    @staticmethod
+    def _instance(one: Operator) -> Instance:
+        return Instance(one.config.name, [sys.executable, "-m", "mountgauge", "run", str(one.path)])
+
+    async def reload(self, path: Path) -> None:
+        """Read the file again: stop what it no longer names, start what is new, pass SIGHUP to the rest."""
+        try:
+            file = load_agent(path)
+        except ConfigError as error:
+            log.error("reload-failed", extra=kv(error=error, kept="the old instances"))
+            return
+        wanted = [self._instance(one) for one in file.instances]
+        known = {(one.name, *one.command): one for one in self.instances}
+        kept = [known.pop((one.name, *one.command), one) for one in wanted]
+        gone, fresh = list(known.values()), [one for one in kept if one in wanted]
+        self.instances = kept
+        needs = "listen" if file.listen != self.listen else "nothing"
+        counts = kv(instances=len(kept), gone=len(gone), new=len(fresh), needs_restart=needs)
+        log.info("reloaded", extra=counts)
+        for instance in gone:  # first, as a new one may take over its state or its address
+            await instance.stop()
+        for instance in fresh:
+            instance.start()
+        await asyncio.gather(*(one.reload() for one in kept if one not in fresh))
+
     async def start(self) -> None:
         await self.status.listen(self.listen)
         for instance in self.instances:
@@ -145,14 +179,24 @@
         self.status.close()
 
 
-async def serve(file: AgentFile) -> None:
-    asked = asyncio.Event()
+async def serve(file: AgentFile, path: Path) -> None:
+    loop, asked = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, asked.set)
+        loop.add_signal_handler(number, asked.set)
     agent = Agent(file)
+    reloads: asyncio.Queue[None] = asyncio.Queue()  # one after another
+    loop.add_signal_handler(signal.SIGHUP, reloads.put_nowait, None)
+
+    async def reload() -> None:
+        while True:
+            await reloads.get()
+            await agent.reload(path)
+
+    reloading = loop.create_task(reload())
     await agent.start()
     log.info(
         "ready", extra=kv(instances=len(agent.instances), listen=f"{agent.listen.host}:{agent.listen.port}")
     )
     await asked.wait()
+    reloading.cancel()
     await agent.stop()
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -38,6 +39,7 @@
 
 
 def _run(file: Path | None) -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop takes it: the file is yet to be read
     set_up()
     if file is None:
         asyncio.run(serve(Config.load()))
@@ -52,9 +54,10 @@
 
 
 def _agent(file: Path) -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     found = agent.load_agent(file)
     set_up()
-    asyncio.run(agent.serve(found))
+    asyncio.run(agent.serve(found, file))
     return 0
 
 
--- a/mountgauge/core/config.py
+++ b/mountgauge/core/config.py
@@ -122,7 +122,8 @@
             return cls(
                 name=str(env.get("GW_NAME") or raw["name"]),
                 listen=Address.parse(env.get("GW_LISTEN") or raw["listen"], "listen"),
-                discovery=Address.parse(env.get("GW_DISCOVERY") or raw["discovery"], "discovery"),
+                # The file can be replaced while the program runs, its environment can't: the file prevails.
+                discovery=Address.parse(raw.get("discovery") or env.get("GW_DISCOVERY"), "discovery"),
                 state=Path(state),
                 seed=int(str(raw.get("seed", "0")), 16),
                 limits=Limits(
--- a/mountgauge/notices.py
+++ b/mountgauge/notices.py
@@ -41,6 +41,13 @@
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def move(self, address: Address) -> None:
+        """Another address from now on: what is owed goes there at once, also what was under way."""
+        self._address = address
+        self.close()
+        self._client = Client(address.host, address.port)
+        self._task = asyncio.get_running_loop().create_task(self._run()) if self._owed else None
+
     def close(self) -> None:
         if self._task is not None:
             self._task.cancel()
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -13,7 +13,7 @@
 from mountgauge.amqp.clients import Access, AmqpClients
 from mountgauge.amqp.next_hops import AmqpNextHops
 from mountgauge.clients import Clients
-from mountgauge.core.config import Address, Config
+from mountgauge.core.config import Address, Config, ConfigError
 from mountgauge.core.journal import Journal
 from mountgauge.core.ports import End, MapSource, SenderSide
 from mountgauge.core.sender import Sender
@@ -21,7 +21,7 @@
 from mountgauge.log import kv
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
-from mountgauge.operator_file import Hops, Operator
+from mountgauge.operator_file import Hops, Operator, load
 from mountgauge.otlp import Exporter, Snapshot
 from mountgauge.router import Router
 from mountgauge.status import StatusServer
@@ -111,6 +111,47 @@
             self._operated(operator, http, fronts, clients, hops)
         self.sender.next_hops, self.sender.map = self.next_hops, self.map
 
+    def reload(self) -> None:
+        """SIGHUP: read the file again. What may change while it runs moves; nothing is closed for it."""
+        try:
+            if self.operator is None:
+                self._reloaded(Config.load())
+            else:
+                self._reloaded_operator(load(self.operator.path))
+        except ConfigError as error:
+            log.error("reload-failed", extra=kv(error=error, kept="the old settings"))
+
+    def _reloaded(self, config: Config) -> None:
+        old, self.config = self.config, config
+        if config.discovery != old.discovery:
+            if isinstance(self.notices, Notices):
+                self.notices.move(config.discovery)
+            if isinstance(self.map, TransportMap):
+                self.map.move(config.discovery)
+        fixed = ("listen", "state", "limits", "settings")
+        self._told([name for name in fixed if getattr(config, name) != getattr(old, name)])
+
+    def _reloaded_operator(self, operator: Operator) -> None:
+        old, self.operator, self.config = self.operator, operator, operator.config
+        assert old is not None
+        if isinstance(self.notices, Notices) and operator.notices not in (None, old.notices):
+            self.notices.move(operator.notices)
+        for listener, _ in self.listeners:
+            if isinstance(listener, AmqpClients) and operator.amqp is not None:
+                listener.access = Access(operator.amqp.users)
+                listener.heartbeat, listener.exchange = operator.amqp.heartbeat, operator.amqp.exchange
+        self.map.snapshot()
+        both = operator.config, old.config
+        needs = [name for name in ("resp", "status", "otlp") if getattr(operator, name) != getattr(old, name)]
+        needs += [n for n in ("state", "limits", "settings") if getattr(both[0], n) != getattr(both[1], n)]
+        if getattr(operator.amqp, "listen", None) != getattr(old.amqp, "listen", None):
+            needs.append("amqp.listen")
+        self._told(needs)
+
+    @staticmethod
+    def _told(needs_restart: list[str]) -> None:
+        log.info("reloaded", extra=kv(needs_restart=",".join(needs_restart) or "nothing"))
+
     def _listen(self, listener: Listener, address: Address) -> None:
         self.listeners.append((listener, address))
 
@@ -210,6 +251,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
     runtime = Runtime(config, operator)
+    loop.add_signal_handler(signal.SIGHUP, runtime.reload)
     await runtime.start()
     # What lives as long as the process is not walked again; the rest is small enough for short pauses.
     gc.collect()
--- a/mountgauge/transport_map.py
+++ b/mountgauge/transport_map.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Protocol
 
 import orjson
@@ -14,8 +15,11 @@
 
 log = logging.getLogger("mountgauge.transport_map")
 
+_MOST_LIST = 8 << 20  # bytes
 _SILENCE = 1.5  # s past the asked wait after which a watch that says nothing is given up
 _LIST_LIMIT = 3.0  # s for a call that does not wait
+_MOVING = 4.0  # s after a move in which the list of the new address must hold: no back-off meanwhile
+_MOVE_LIMIT, _MOVE_PAUSE = 1.2, 0.1  # s for a call then, and between two
 
 
 class MapOwner(Protocol):
@@ -32,9 +36,10 @@
     def __init__(self, owner: MapOwner, address: Address, names: Names, wait: float) -> None:
         self._owner, self._address, self._names = owner, address, names
         self._wait = wait
-        self._client = Client(address.host, address.port, most_body=8 << 20)
+        self._client = Client(address.host, address.port, most_body=_MOST_LIST)
         self._task: asyncio.Task[None] | None = None
         self._whole = False
+        self._moved_at = -math.inf
 
     def watch(self, on: bool) -> None:
         running = self._task is not None and not self._task.done()
@@ -47,6 +52,17 @@
         self._whole = True  # the next call asks for the whole list
         self.watch(True)
 
+    def move(self, address: Address) -> None:
+        """Another address from now on: its whole list is asked for at once, whatever the old one did."""
+        self._address = address
+        self._client.close()
+        self._client = Client(address.host, address.port, most_body=_MOST_LIST)
+        self._whole = True
+        self._moved_at = asyncio.get_running_loop().time()
+        if self._task is not None:
+            self._task.cancel()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
     def close(self) -> None:
         self.watch(False)
         self._client.close()
@@ -57,6 +73,8 @@
             if self._owner.version >= 0 and not self._whole:
                 path += f"?index={self._owner.version}&wait={int(self._wait * 1000)}"
                 limit = self._wait + _SILENCE
+            moving = asyncio.get_running_loop().time() - self._moved_at < _MOVING
+            limit = min(limit, _MOVE_LIMIT) if moving and self._whole else limit
             data = request("GET", path, f"{self._address.host}:{self._address.port}", {})
             try:
                 message = await self._client.exchange(data, limit)
@@ -66,6 +84,9 @@
             except (OSError, ValueError) as error:  # TimeoutError is an OSError
                 log.warning("watch-failed", extra=kv(error=f"{type(error).__name__}: {error}"))
                 self._client.close()
+                if moving and self._whole:  # the module's back-off was meant for the old address
+                    await asyncio.sleep(_MOVE_PAUSE)
+                    continue
                 self._task = None
                 self._owner.list_failed()
                 return
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -44,7 +44,7 @@
         self.delivered.append(msg_id)
         return response(200, "OK", {}, b"")
 
-    async def start(self) -> asyncio.subprocess.Process:
+    async def start(self, **told: str) -> asyncio.subprocess.Process:
         if not self.discovery.port:
             await self.discovery.start()
             await self.endpoint.start()
@@ -64,8 +64,9 @@
         (self.folder / "state").mkdir(exist_ok=True)
         env = {"GW_CONFIG": str(self.folder / "config.json"), "GW_STATE": str(self.folder / "state")}
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "mountgauge", env={**os.environ, **env}, stderr=asyncio.subprocess.DEVNULL
-        )
+            sys.executable, "-m", "mountgauge",
+            env={**os.environ, **env, **told}, stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
         await until(self.pings)
         return process
 
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,216 @@
+"""SIGHUP: the file is read again, discovery moves, and neither clients, calls nor owed notices are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+
+import orjson
+
+from mountgauge.agent import Agent, load_agent
+from mountgauge.core.config import Address
+from mountgauge.core.ports import End, Status
+from mountgauge.http1 import Message, response
+from mountgauge.notices import Notices
+from mountgauge.operator_file import load
+from mountgauge.runtime import Runtime
+from mountgauge.transport_map import TransportMap
+from tests.helper import HOST, HttpServer, World, run, until
+from tests.test_peers import NAMES, Owner, listing
+from tests.test_process import Platform
+
+
+def test_sighup_moves_to_another_discovery_and_closes_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        platform, asked = Platform(tmp_path), list[str]()
+
+        async def other(message: Message) -> bytes:
+            assert message.start is not None
+            asked.append(message.start[1])
+            if message.start[1] == "/v1/notices":
+                return await platform.answer(message)
+            line = {"id": "e", "addr": f"{HOST}:{platform.endpoint.port}", "zone": "near", "kind": "one",
+                    "cell": 7, "state": "active", "weight": 1.0, "started_ms": 0}  # fmt: skip
+            if "index" in message.start[1]:
+                await asyncio.sleep(30)
+            return response(200, "OK", {}, orjson.dumps({"version": 9, "full": True, "servers": [line]}))
+
+        moved = HttpServer(other)
+        await moved.start()
+        # The environment keeps the address that the process was started with; the file has the new one.
+        process = await platform.start(GW_DISCOVERY=f"{HOST}:{platform.discovery.port}")
+        platform.hold.clear()
+        reader, writer = await asyncio.open_connection(HOST, platform.port)
+        writer.write(b"*1\r\n$4\r\nPING\r\n")
+        assert await reader.readline() == b"+PONG\r\n"
+        assert await platform.send(("a", "safe")) == [b"+OK\r\n"]
+        await until(lambda: platform.hooks == ["a"])
+        file = tmp_path / "config.json"
+        good = json.loads(file.read_text())
+        file.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert process.returncode is None and not asked
+        file.write_text(json.dumps({**good, "discovery": f"{HOST}:{moved.port}"}))
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(asked) >= 2, 2.0)  # though the old address is silent
+        assert asked[0] == "/registry/instances" and "index=9&" in asked[1]
+        writer.write(b"*1\r\n$4\r\nPING\r\n")
+        assert await reader.readline() == b"+PONG\r\n"
+        platform.hold.set()
+        await until(lambda: platform.delivered == ["a"])
+        platform.hold.clear()
+        assert await platform.send(("late", "once")) == [b"+OK\r\n"]
+        await until(lambda: len(platform.hooks) == 2)
+        await platform.endpoint.stop()
+        await until(lambda: platform.notices == {"late": "undeliverable"} and "/v1/notices" in asked)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        await platform.stop()
+        await moved.stop()
+
+    run(main(), 30)
+
+
+def test_a_moved_map_waits_for_no_back_off() -> None:
+    """Failures at the old address, or before the new one serves, must not cost the 4 s of a move."""
+
+    async def main() -> None:
+        paths: list[str] = []
+
+        async def reply(message: Message) -> bytes:
+            assert message.start is not None
+            paths.append(message.start[1])
+            if len(paths) < 3:
+                return response(503, "not yet", {}, b"")
+            if len(paths) > 3:
+                await asyncio.sleep(60)
+            return listing(2, True)
+
+        silent, server = HttpServer(lambda m: asyncio.sleep(60, None)), HttpServer(reply)
+        await silent.start()
+        await server.start()
+        owner = Owner(30)
+        watched = TransportMap(owner, Address(HOST, silent.port), NAMES, 5.0)
+        watched.watch(True)
+        await asyncio.sleep(0.1)
+        watched.move(Address(HOST, server.port))
+        watched.watch(True)  # a back-off of the module's that ends now: the move goes on
+        await until(lambda: len(paths) == 4, 1.5)
+        assert paths[:3] == ["/registry/instances"] * 3 and "index=2&" in paths[3]
+        assert owner.failures == 0 and owner.updates[0].full
+        watched.close()
+        for one in (silent, server):
+            await one.stop()
+
+    run(main())
+
+
+def test_owed_notices_move_with_their_ends() -> None:
+    async def main() -> None:
+        lines: list[bytes] = []
+
+        async def take(message: Message) -> bytes:
+            lines.extend(bytes(message.body).splitlines())
+            return response(204, "x", {}, b"")
+
+        silent, server = HttpServer(lambda m: asyncio.sleep(60, None)), HttpServer(take)
+        await silent.start()
+        await server.start()
+        notices, told = Notices(Address(HOST, silent.port)), list[str]()
+        notices.move(Address(HOST, silent.port))  # nothing owed yet
+        notices.tell("a", End(Status.DEFERRED, 5), lambda: told.append("a"))
+        await asyncio.sleep(0.1)
+        notices.move(Address(HOST, server.port))
+        notices.tell("b", End(Status.UNDELIVERABLE), lambda: told.append("b"))
+        await until(lambda: len(told) == 2, 0.5)
+        assert [json.loads(line)["id"] for line in lines] == ["a", "b"] and not notices.owed
+        notices.close()
+        for one in (silent, server):
+            await one.stop()
+
+    run(main())
+
+
+def test_an_operators_sender_reads_its_file_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path, "amqp") as world:
+            text = world.file.read_text()
+            world.file.write_text("name = ")
+            world.runtime.reload()
+            assert world.runtime.operator is not None and world.runtime.operator.amqp is not None
+            assert not world.runtime.operator.amqp.users
+            world.file.write_text(text.replace("[rules]", 'users = { "u" = "other" }\n[rules]'))
+            world.runtime.reload()
+            late = type(world.client)(world)
+            try:
+                await late.connect()
+                raise AssertionError("an old password still opens")
+            except (AssertionError, asyncio.IncompleteReadError) as error:
+                assert "403" in str(error)
+            assert await world.client.take("m1") is None and await world.client.end("m1") == "delivered"
+
+    run(main())
+
+
+def test_reload_names_what_needs_a_restart(tmp_path: Path) -> None:
+    file = tmp_path / "one.toml"
+    text = ('name = "one"\nstate = "state"\n[resp]\nlisten = "127.0.0.1:0"\nnotices = "127.0.0.1:9"\n'
+            '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 8\n')  # fmt: skip
+    file.write_text(text)
+    (tmp_path / "state").mkdir()
+    told: list[list[str]] = []
+
+    async def main() -> None:
+        operator = load(file)
+        runtime = Runtime(operator.config, operator)
+        setattr(runtime, "_told", told.append)  # noqa: B010
+        await runtime.start()
+        runtime.reload()
+        file.write_text(text.replace("deadline = 8", "deadline = 9").replace("127.0.0.1:9", "127.0.0.1:8"))
+        runtime.reload()
+        assert isinstance(runtime.notices, Notices) and runtime.notices._address.port == 8
+        runtime.close()
+        runtime.listeners[0][0].stop_listening()
+
+    run(main())
+    assert told == [[], ["settings"]]
+
+
+def test_agent_reads_its_file_again(tmp_path: Path) -> None:
+    """SIGHUP ended the agent and left its instances running."""
+    for name in ("a", "b", "c"):
+        (tmp_path / f"{name}.toml").write_text(
+            f'name = "{name}"\nstate = "s-{name}"\n[resp]\nlisten = "127.0.0.1:0"\n'
+            '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 8\n'
+        )
+    file = tmp_path / "agent.toml"
+
+    def write(*names: str) -> None:
+        lines = [f'[[instance]]\nfile = "{name}.toml"\n' for name in names]
+        file.write_text('[agent]\nlisten = "127.0.0.1:0"\n' + "".join(lines))
+
+    async def main() -> None:
+        write("a", "b")
+        agent = Agent(load_agent(file))
+        await agent.start()
+        try:
+            await until(lambda: all(one.state == "running" for one in agent.instances))
+            kept, gone = agent.instances
+            first = kept.report()["pid"]
+            file.write_text("[agent")
+            await agent.reload(file)
+            assert agent.instances == [kept, gone]
+            write("c", "a")
+            await agent.reload(file)
+            assert [one.name for one in agent.instances] == ["c", "a"] and gone.state == "stopped"
+            await until(lambda: all(one.state == "running" for one in agent.instances))
+            assert agent.instances[1] is kept and kept.report()["pid"] == first and kept.restarts == 0
+            os.kill(first, 0)
+        finally:
+            await agent.stop()
+
+    run(main(), 40)
