Bound silent and rude clients on both fronts; take spoilt answers as errors, not outages

A destination counts as known for ten minutes after it was last listed. A spoilt answer is ERROR, bar a single call whose first line reads 200; an answer that has begun ends in 0.5 s.

--- a/mountgauge/amqp/codec.py
+++ b/mountgauge/amqp/codec.py
@@ -45,6 +45,10 @@
     def feed(self, data: bytes | memoryview) -> None:
         self._buffer += data
 
+    @property
+    def partial(self) -> bool:
+        return bool(self._buffer)
+
     def header(self) -> bytes | None:
         """The eight bytes that open a connection, None until they have come."""
         if len(self._buffer) < 8:
--- a/mountgauge/amqp/link.py
+++ b/mountgauge/amqp/link.py
@@ -8,6 +8,7 @@
 
 from mountgauge.amqp import codec
 from mountgauge.amqp.codec import AmqpError, Content, Frame, Method
+from mountgauge.sockets import Drain
 
 _RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 MOST_BODY = 64 * 1024
@@ -35,7 +36,8 @@
         self._parser = codec.FrameParser(FRAME_MAX)
         self._contents: dict[int, Content] = {}
         self._heartbeat = 0.0
-        self._deaf = False
+        self._drain: Drain | None = None  # once nothing more is heard
+        self._whole_at = 0.0  # when a frame or a message last stood half there no longer
         self._read_at = self._wrote_at = 0.0
         self._beat: asyncio.TimerHandle | None = None
 
@@ -76,6 +78,10 @@
         self.state = State.CLOSING
         asyncio.get_running_loop().call_later(2.0, self.abort)  # an answer that never comes
 
+    def hear_no_more(self) -> None:
+        if self._drain is None and self.transport is not None:
+            self._drain = Drain(self.transport)
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -111,15 +117,26 @@
         self.flushed = True
 
     def get_buffer(self, sizehint: int) -> bytearray:
-        return _RECEIVE
+        return _RECEIVE if self._drain is None else self._drain.buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         self._read_at = asyncio.get_running_loop().time()
-        if self._deaf:  # read and dropped: closed with bytes unread, the reason would be lost with a reset
+        if self._drain is not None:
+            self._drain.took()
             return
+        if not self.halfway:
+            self._whole_at = self._read_at
         self._parser.feed(memoryview(_RECEIVE)[:nbytes])
         self.read()
 
+    @property
+    def halfway(self) -> bool:
+        """A frame or a message has begun and is not whole."""
+        return self._parser.partial or bool(self._contents)
+
+    def halfway_for(self, now: float) -> float:
+        return now - self._whole_at if self.halfway else 0.0
+
     def read(self) -> None:
         if self.state is State.HEADER:
             if (head := self._parser.header()) is None:
@@ -129,8 +146,8 @@
             try:
                 one = self._parser.next()
             except AmqpError as error:  # where the next frame begins is not known any more
-                self._deaf = True
                 self.close_with(error)
+                self.hear_no_more()
                 return
             if one is None:
                 return
@@ -191,4 +208,6 @@
             self.state = State.CLOSED
             if self._beat is not None:
                 self._beat.cancel()
+            if self._drain is not None:
+                self._drain.close()
             self.on_lost()
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -33,7 +33,9 @@
 log = logging.getLogger("mountgauge.sender")
 
 _NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+_ASK_AGAIN_MS = 250
 _GRACE = 0.1  # s past its time after which a message that the module still holds is withdrawn from it
+_KNOWN_FOR = 600.0  # s after it was last listed for which a destination still counts as one that exists
 _WATCHDOG = 1 << 62  # token space of the core's own timers
 
 
@@ -64,6 +66,8 @@
         self.map: MapSource
         self.hops: dict[str, NextHop] = {}
         self.version = -1  # none known: 0 is a version like any other
+        self.listed: dict[int, float] = {}  # destinations, and until when each counts as one that exists
+        self.told = False  # discovery has told this process of the whole list, or that the known one holds
         self.held: dict[int, Held] = {}
         self.numbers: dict[str, int] = {}
         self.waits: dict[object, float] = {}  # told waits, by what shares the limit
@@ -118,6 +122,7 @@
 
     def list_changed(self, update: MapUpdate) -> None:
         """Discovery told of the whole list, or of what changed."""
+        self.told = True
         self._learn(update, io.ListKind.FULL if update.full else io.ListKind.DELTA)
         self._soon()
 
@@ -134,6 +139,14 @@
             else:
                 self.hops[hop.id] = hop
         self.version = update.version
+        now = self.clock.now()
+        for hop in self.hops.values():
+            self.listed[hop.entry.owner] = math.inf
+        for dest in self.listed.keys() - {hop.entry.owner for hop in self.hops.values()}:
+            # All its endpoints may have left for a moment: what comes for it meanwhile is held, not refused.
+            self.listed[dest] = min(self.listed[dest], now + _KNOWN_FOR)
+            if self.listed[dest] <= now:
+                del self.listed[dest]
         self._ready.append(io.Targets(how, update.version, tuple(hop.entry for hop in update.hops)))
 
     # The turn
@@ -190,10 +203,16 @@
         if not one.waiting():  # it has hung up and may hand the message in again under another id
             one.answer(End(Status.DEFERRED))
             return None
-        if one.id in self.numbers:  # the request was sent twice; taken on the first time
-            one.answer(Taken())
+        if (number := self.numbers.get(one.id)) is not None:
+            # The request was sent twice and taken on the first time; or it is not that request.
+            known = self.held[number].stored
+            same = (known.dest, known.key, known.body) == (one.dest, one.key, one.body)
+            one.answer(Taken() if same else End(Status.UNDELIVERABLE))
         elif (end := self.journal.ends.get(one.id)) is not None:
             one.answer(end)
+        elif one.dest not in self.listed:
+            # Until discovery has spoken, the destination may be newer than the last process's list.
+            one.answer(End(Status.UNDELIVERABLE) if self.told else End(Status.DEFERRED, _ASK_AGAIN_MS))
         elif len(self.policy.msgs) >= self.rules.max_open or not self.journal.room(len(one.body)):
             one.answer(End(Status.DEFERRED))
         else:
--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import select
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import cast
 
-_MOST_HEAD = 16 * 1024
+_MOST_HEAD = 16 * 1024  # bytes of a line
+_MOST_HEADERS = 100
+_MOST_DIGITS = 15  # of a length: far more than any bound, far less than int() takes long for
 _RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 
 
+_HEX = re.compile(r"[0-9a-fA-F]{1,15}")
+
+
 class HttpError(ValueError):
     """Bytes that HTTP/1.1 does not allow, or more of them than a bound permits."""
 
@@ -25,6 +32,7 @@
     head_done: bool = False
     body: bytearray = field(default_factory=bytearray)
     whole: bool = False
+    spoilt: bool = False  # it cannot be read any further, or its rest has not come in time
 
     @property
     def status(self) -> int:
@@ -49,16 +57,28 @@
         self.current = Message()
         self._left = 0  # body bytes still to come
         self._mode = "head"  # head, length, chunk-size, chunk, chunk-end, trailer, close
+        self._trailers = 0
+        self.error: HttpError | None = None
 
     @property
     def clean(self) -> bool:
         """Nothing of a next message has come."""
-        return not self._buffer and self.current.start is None
+        return not self._buffer and self.current.start is None and self.error is None
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
+        """What came whole before an error is still good: the error is raised where nothing did."""
         self._buffer += data
-        done = []
-        while self._step():
+        done: list[Message] = []
+        while self.error is None:
+            try:
+                if not self._step():
+                    break
+            except HttpError as error:
+                self.error, self.current.spoilt = error, True
+                self._buffer.clear()
+                if not done:
+                    raise
+                break
             if self.current.whole:
                 # An interim answer (1xx) announces the real one.
                 if self._requests or self.current.status >= 200:
@@ -91,10 +111,10 @@
         if self._mode == "head":
             self._head_line(line)
         elif self._mode == "chunk-size":
-            try:
-                self._left = int(line.split(";")[0].strip(), 16)
-            except ValueError:
-                raise HttpError("bad chunk size") from None
+            size = line.split(";")[0].strip()
+            if not _HEX.fullmatch(size):
+                raise HttpError("bad chunk size")
+            self._left = int(size, 16)
             self._bound(self._left)
             self._mode = "chunk" if self._left else "trailer"
         elif self._mode == "chunk-end":
@@ -102,7 +122,11 @@
                 raise HttpError("chunk without an end")
             self._mode = "chunk-size"
         elif not line:  # trailer
-            self.current.whole = True
+            self.current.whole, self._trailers = True, 0
+        else:
+            self._trailers += 1
+            if self._trailers > _MOST_HEADERS:
+                raise HttpError("too many trailers")
         return True
 
     def _bound(self, more: int) -> None:
@@ -137,7 +161,7 @@
             if name == "content-length" and message.headers.get(name, value.strip()) != value.strip():
                 raise HttpError("two lengths")
             message.headers[name] = value.strip()
-            if len(message.headers) > 100:
+            if len(message.headers) > _MOST_HEADERS:
                 raise HttpError("too many headers")
             return
         message.head_done = True
@@ -152,7 +176,7 @@
         version = parts[2] if self._requests else parts[0]
         if not version.startswith("HTTP/1."):
             raise HttpError("not HTTP/1")
-        if not self._requests and not (parts[1].isdecimal() and len(parts[1]) == 3):
+        if not self._requests and not (parts[1].isdecimal() and len(parts[1]) == 3 and parts[1] >= "100"):
             raise HttpError("bad status")
         self.current.start = (parts[0], parts[1], parts[2])
 
@@ -165,7 +189,7 @@
         elif "chunked" in message.headers.get("transfer-encoding", "").lower():
             self._mode = "chunk-size"
         elif length is not None:
-            if not length.isdecimal():
+            if not length.isdecimal() or len(length) > _MOST_DIGITS:
                 raise HttpError("bad length")
             self._left = int(length)
             self._bound(self._left)
@@ -211,21 +235,35 @@
 class Connection(asyncio.BufferedProtocol):
     """A client's connection: CONNECTING, then IDLE and BUSY in turn, at last CLOSED."""
 
-    def __init__(self, lost: Callable[[Connection], None], most_body: int = 1 << 20) -> None:
+    def __init__(
+        self, lost: Callable[[Connection], None], most_body: int = 1 << 20, rest: float | None = None
+    ) -> None:
         self.state = State.CONNECTING
         self.idle_since = 0.0
         self.flushed = True  # the call's last byte has been written to the socket
         self._lost = lost
         self._most = most_body
+        self._most_rest = rest  # s in which an answer that has begun must be whole
         self._parser = Parser(most_body=most_body)
         self._transport: asyncio.Transport | None = None
         self._finished: Callable[[Message, bool], None] | None = None
+        self._rest: asyncio.TimerHandle | None = None  # runs while an answer is half there
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(0)  # pause and resume then tell when all is written
         self.state, self.idle_since = State.IDLE, asyncio.get_running_loop().time()
 
+    @property
+    def silent(self) -> bool:
+        """Whether nothing waits to be read: what came unasked would pass for the next call's answer."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is None:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def begin(self, data: bytes, finished: Callable[[Message, bool], None]) -> None:
         """Send a call. `finished` gets what came back and whether the last byte had been written."""
         assert self.state is State.IDLE and self._transport is not None
@@ -250,6 +288,11 @@
         except HttpError:
             self.close()
             return
+        if self._rest is None and self._most_rest is not None and not done and not self._parser.clean:
+            self._rest = asyncio.get_running_loop().call_later(self._most_rest, self._overdue)
+        elif self._rest is not None and (done or self._parser.clean):
+            self._rest.cancel()
+            self._rest = None
         if done:
             if len(done) > 1 or not self._parser.clean or not done[0].keep_alive or not self.flushed:
                 self._shut()
@@ -259,6 +302,10 @@
             if self.state is State.CLOSED:
                 self._lost(self)
 
+    def _overdue(self) -> None:
+        self._parser.current.spoilt = True
+        self.close()
+
     def eof_received(self) -> bool:
         if (message := self._parser.end()) is not None:
             self._shut()
@@ -280,6 +327,8 @@
 
     def _shut(self) -> None:
         self.state = State.CLOSED
+        if self._rest is not None:
+            self._rest.cancel()
         if self._transport is not None:
             self._transport.abort()
 
@@ -309,7 +358,7 @@
         """The whole answer; OSError or TimeoutError where none comes in time."""
         loop = asyncio.get_running_loop()
         connection = self._connection
-        if connection is None or connection.state is not State.IDLE:
+        if connection is None or connection.state is not State.IDLE or not connection.silent:
             self.close()
             async with asyncio.timeout(connect_limit):
                 _, connection = await loop.create_connection(
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -19,6 +19,8 @@
 
 _IDLE_MARGIN = 0.25  # s before connIdle at which an idle connection is dropped: past it a call is a reset
 _MOST_BODY = 64 * 1024
+_REST = 0.5  # s in which an answer that has begun must be whole
+_MOST_ANSWER = 128 * 1024  # bytes of body: past it nothing can be meant that is to be read
 _STATES = {
     "ok": Result(Outcome.OK),
     "error": Result(Outcome.ERROR),
@@ -65,7 +67,8 @@
         now = asyncio.get_running_loop().time()
         while pool:
             connection = pool.pop()
-            if connection.state is State.IDLE and now - connection.idle_since < self._idle:
+            fresh = connection.state is State.IDLE and now - connection.idle_since < self._idle
+            if fresh and connection.silent:
                 return connection
             connection.close()
         return None
@@ -125,7 +128,7 @@
 
     async def _connect(self, out: _Out) -> None:
         hop = out.call.hop
-        connection = Connection(self._lost(_place(hop)))
+        connection = Connection(self._lost(_place(hop)), _MOST_ANSWER, _REST)
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await asyncio.get_running_loop().create_connection(lambda: connection, hop.host, hop.port)
@@ -173,10 +176,14 @@
 
     def _answered(self, out: _Out, message: Message, flushed: bool) -> None:
         results: dict[int, Result] = {}
-        if message.status == 0:
+        cut = not message.head_done and not message.spoilt and message.status != 200
+        if cut or (message.status == 0 and not (message.spoilt and flushed)):
             # With its last byte not written, the call has not begun at the next hop.
             result = Result((out.stopped or Outcome.RESET) if flushed else Outcome.CONNECT_FAILED)
             results = {item.number: result for item in out.going}
+        elif message.spoilt and (len(out.going) > 1 or message.status != 200):
+            # The next hop is there and has read the call: an error, not an outage.
+            results = {item.number: Result(Outcome.ERROR) for item in out.going}
         elif len(out.going) > 1 and message.status == 200:
             results = _batch_results(out, message)
         else:
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
@@ -36,6 +37,7 @@
 _SPARE_SOCKETS = 48  # the loop, the log, the journal, discovery, notices
 _WATCH_MOST = 60.0
 _MOST_PUBLISHERS = 64  # AMQP connections: each may hold a megabyte of bodies under way
+_STATE_EVERY = 5.0  # s
 _BROKER_IDLE = 60.0  # s without calls after which a broker's connection is let go
 
 
@@ -105,8 +107,10 @@
         if operator is None:
             self.next_hops = Router({"http": http}, {})
             wait = min(_WATCH_MOST, rules.ask_within)
+            deadlines = [grade.deadline for grade in rules.grades]
             self.map = TransportMap(self.sender, config.discovery, names, wait)
-            self._listen(Clients(self.sender.submit, names.grades, clients), config.listen)
+            front = Clients(self.sender.submit, names.grades, clients, deadlines=deadlines)
+            self._listen(front, config.listen)
         else:
             self._operated(operator, http, fronts, clients, hops)
         self.sender.next_hops, self.sender.map = self.next_hops, self.map
@@ -159,6 +163,7 @@
         self, operator: Operator, http: HttpNextHops, fronts: dict[str, SenderSide], clients: int, hops: int
     ) -> None:
         rules, names = self.config.rules, self.config.names
+        self.sender.told = True  # the file is the whole list
         amqp = AmqpNextHops(
             self.sender, rules.connect_timeout, _BROKER_IDLE, hops // 2, operator.hops.accounts
         )
@@ -170,7 +175,9 @@
         self.map = FileMap(self.sender, operator, learn)
         share = clients // ((operator.resp is not None) + (operator.amqp is not None))
         if operator.resp is not None:
-            self._listen(Clients(self.sender.submit, names.grades, share), operator.resp)
+            deadlines = [grade.deadline for grade in rules.grades]
+            resp = Clients(self.sender.submit, names.grades, share, deadlines=deadlines)
+            self._listen(resp, operator.resp)
         if operator.amqp is not None:
             access = Access(operator.amqp.users)
             front = AmqpClients(
@@ -245,6 +252,19 @@
         self.journal.close()
 
 
+async def _state_lines(runtime: Runtime) -> None:
+    """Now and then one line of what the sender believes, to be held against what its peers see."""
+    before = Counter[tuple[str, str]]()
+    while True:
+        await asyncio.sleep(_STATE_EVERY)
+        now = runtime.snapshot()
+        new = {
+            f"{kind}.{what}" if what else kind: n for (kind, what), n in sorted((now.counts - before).items())
+        }
+        before = now.counts
+        log.info("state", extra=kv(held=now.held, slots_used=now.slots_used, **new))
+
+
 async def serve(config: Config, operator: Operator | None = None) -> None:
     loop = asyncio.get_running_loop()
     asked = asyncio.Event()
@@ -258,8 +278,13 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     listens = ",".join(f"{address.host}:{address.port}" for _, address in runtime.listeners)
-    log.info("ready", extra=kv(name=config.name, listen=listens, hops=len(runtime.sender.hops)))
+    rules, limits = config.rules, config.limits
+    ready = kv(name=config.name, listen=listens, hops=len(runtime.sender.hops), slots=rules.workers,
+               max_open=rules.max_open, sockets=limits.sockets, memory=limits.memory_bytes)  # fmt: skip
+    log.info("ready", extra=ready)
+    stating = loop.create_task(_state_lines(runtime))
     await asked.wait()
+    stating.cancel()
     log.info("stopping", extra=kv(held=len(runtime.sender.held), out=runtime.next_hops.out))
     await runtime.stop()
     log.info("stopped", extra=kv(left=len(runtime.journal.live), opened=runtime.next_hops.opened))
