Judge a call once, wait a part of the aim at least, let slow start run on

Checked: a probe of each destination that holds most showed cold=0.3 s again and again, so cap=4.25 calls/s where 10 were asked for; a probe of each late answer showed calls given up after 0.08 to 0.3 s against aims of 1 and 2 s (usual 0.06, deviation 0.01), with others answered 50 ms before, and fours and fives from one call. Ruled out: slots (not all taken), told waits (seldom running), sockets (no call waited for a connection).

At fault, in policy.py: _judge took each message of a call for a failure of its own, so that one late call of five passed PROVEN, shut the destination and began slow start; it also squeezed the deviation. _send gave a call, when slots were scarce, no more than mean + 4.5 deviations, and as much again to a message that had timed out. _live began slow start anew with any failure inside it.

Each of the three has a test that fails with the module as it was.

--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -19,6 +19,7 @@
 FIRST_USUAL = 0.5  # s; usual time of an endpoint that has not answered yet
 SMOOTH, SMOOTH_DEV = 1 / 8, 1 / 4  # gains of the mean and deviation of answer times, as in RFC 6298
 LATE_DEVS = 4.5  # deviations past the mean at which an attempt is given up: answer times have long tails
+LEAST_PATIENCE = 0.25  # of the aim; for less, an answer is not late, and a false alarm shuts an endpoint
 PROVEN = 2  # failures in a row that may be chance; more are an outage
 BAD_GAIN = 0.25  # weight of the newest outcome in an endpoint's share of bad ones
 UNSAFE_BAD, AILING, DEAD = 0.3, 0.6, 0.8  # shares of bad outcomes: no unsafe message; an outage; down
@@ -299,7 +300,10 @@
         msg.attempts += 1
         # silence must not hold the slots: no connect time where a repeat is harmless, and for no longer than
         # a try is worth, also with estimates that time-outs have raised
-        scarce, patience = self.busy >= SCARCE * self.set.workers, ep.usual + LATE_DEVS * ep.dev
+        # a message that takes long takes long again: what has timed out is given longer each time
+        patience = max(ep.usual + LATE_DEVS * ep.dev, LEAST_PATIENCE * msg.grade.aim)
+        patience *= 2 ** min(len(msg.ran), 3)
+        scarce = self.busy >= SCARCE * self.set.workers
         if call.trial or not (scarce and msg.repeatable):
             patience += self.set.connect_timeout
         if call.trial or scarce:
@@ -357,8 +361,13 @@
             self._hold(msg)
 
     def _judge(self, call: Call, event: io.Response) -> None:
-        """What an outcome tells of its endpoint and route."""
+        """What an outcome tells of its endpoint and route: messages of one call share their fate, so once."""
         ep, outcome = call.ep, event.outcome
+        if event.remark_ms > 0 and outcome != Outcome.MOOT:
+            ep.route.wait_until = max(ep.route.wait_until, self.now + event.remark_ms / 1000)
+        if call.judged and (outcome != Outcome.OK or call.judged == Outcome.OK):
+            return
+        call.judged = outcome
         reported = dict(zip(self.set.report_fields, event.stats, strict=False)).get("x1", 0.0)
         if reported > 0:
             ep.route.limit = reported / self.set.balancers * WEIGHT_TRUST
@@ -377,8 +386,6 @@
             self._bad(call, ep.answered_at < call.at, "no answer" if outcome == Outcome.TIMEOUT else "reset")
         if call.trial:
             ep.trial = False
-        if outcome in (Outcome.OK, Outcome.ERROR) and event.remark_ms > 0:  # a batch in part turned away
-            ep.route.wait_until = max(ep.route.wait_until, self.now + event.remark_ms / 1000)
 
     def _answered(self, ep: Endpoint, spent: float) -> None:
         """A success makes the endpoint live again and raises the pace by a step."""
@@ -399,7 +406,8 @@
         route.pace += PACE_STEP
 
     def _live(self, ep: Endpoint) -> None:
-        if ep.route.misses > PROVEN or ep.bad > AILING or self.now - ep.route.cold_since < self.set.cold:
+        # a lone failure while it warms up is chance: starting over each time would never let it warm up
+        if ep.route.misses > PROVEN or ep.bad > AILING:
             ep.route.cold_since = self.now
         ep.failed_at, ep.trial, ep.bad = 0.0, False, min(ep.bad, UNSAFE_BAD)
         self._log(f"up {ep.id.hex()}: answered")
@@ -407,8 +415,6 @@
     def _full(self, call: Call, wait: float) -> None:
         """Over its limit, or shut: heed a told wait (rule 5) and lower the pace."""
         ep, route = call.ep, call.ep.route
-        if wait > 0:
-            route.wait_until = max(route.wait_until, self.now + wait)
         if wait > self.set.fall:  # longer than a limit needs: shut, and cold when it opens
             route.cold_since = route.wait_until
         if self.now - ep.answered_at > self.set.fall:  # full and nothing else: shut, not over its limit
--- a/rillspindle/state.py
+++ b/rillspindle/state.py
@@ -34,6 +34,7 @@
     ep: Endpoint
     at: float
     trial: bool
+    judged: int = 0  # the outcome that was
     left: int = 0
     size: int = 0
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from rillspindle import Policy
 from rillspindle import interface as i
 from rillspindle.interface import ListKind, Outcome, Readiness
+from rillspindle.policy import LEAST_PATIENCE
 from tests.driver import Driver, entry
 from tests.settings import grade, settings
 
@@ -45,6 +47,14 @@
         d.respond(msg, Outcome.CONNECT_FAILED)
 
 
+def sent(d: Driver) -> None:
+    """Until what is held has gone."""
+    until = d.now + 40
+    while not d.pending():
+        d.advance(d.now + 0.02)
+        assert d.now < until, "nothing goes"
+
+
 def test_failures_in_a_row_open_a_fail_window_then_one_trial() -> None:
     d = node(entry(1))
     d.incoming(1)
@@ -97,6 +107,70 @@
     assert d.pending() == [(20, 1)], "a zombie at once: the trial goes without a window"
 
 
+def test_one_call_that_fails_with_several_messages_is_one_failure() -> None:
+    """Counted by message, one late call of four shut a healthy destination and began slow start."""
+    d = node(entry(1, kind=1))
+    for number in range(8):
+        d.incoming(number)
+        d.now += 0.1
+        d.respond(number, Outcome.OK)
+    d.now += 1.0
+    d.incoming(20)
+    for number in (21, 22, 23):
+        d.incoming(number)  # in the same turn: they travel together
+    assert d.slots() == 1
+    d.now += 0.8
+    for number in (20, 21, 22, 23):
+        d.respond(number, Outcome.TIMEOUT)
+    ep = next(iter(d.policy.eps.values()))
+    assert (ep.misses, ep.route.misses, ep.route.cold_since) == (1, 1, -math.inf)
+    assert d.pending(), "a zombie at once: the trial goes without a window"
+
+
+def test_a_lone_failure_does_not_start_slow_start_over() -> None:
+    """Each late answer did, so that a destination once cold stayed cold and its messages piled up."""
+    d = node(entry(1))
+    for number in range(100, 200):
+        d.incoming(number)
+        d.now += 0.05
+        d.respond(number, Outcome.OK)
+    d.incoming(2, left=60)
+    fail(d, 2, 4)
+    sent(d)
+    d.respond(2, Outcome.OK)
+    route = next(iter(d.policy.eps.values())).route
+    began = route.cold_since
+    assert began == d.now, "slow start counts from the first answer"
+    d.now += 5.0
+    for number, outcome in ((3, Outcome.OK), (4, Outcome.TIMEOUT)):
+        d.incoming(number, left=60)
+        sent(d)
+        d.respond(number, outcome)
+    sent(d)
+    d.respond(4, Outcome.OK)
+    assert route.cold_since == began and d.now < began + 9.0
+
+
+def test_when_slots_are_scarce_an_attempt_still_gets_a_part_of_its_aim() -> None:
+    """Answers of 60 ms with a deviation of 10 had calls given up after 100 ms, each a false alarm."""
+    d = node(entry(1), entry(2, dest=1))
+    for number in range(40):
+        d.incoming(number)
+        d.now += 0.06
+        d.respond(number, Outcome.OK)
+    for number in range(100, 104):
+        d.incoming(number)
+    for number in range(104, 108):
+        d.incoming(number, dest=1)
+    limits = [a.give_up_after for a in d.trace if isinstance(a, i.Issue) and a.msg_id >= 100]
+    assert len(limits) == 8 and min(limits) >= LEAST_PATIENCE * 2.0
+    (late,) = [m for m, _ in d.pending() if m == 103]
+    d.now += 0.6
+    d.respond(late, Outcome.TIMEOUT)
+    again = [a.give_up_after for a in d.last if isinstance(a, i.Issue) and a.msg_id == late]
+    assert not again or again[0] >= 2 * LEAST_PATIENCE * 2.0, "a message that takes long takes long again"
+
+
 def test_held_until_the_last_moment_then_refused() -> None:
     d = node(entry(1, readiness=Readiness.DRAINING))
     d.incoming(1)
