Serve through the hand-over; forget who has gone; survive an unreadable list entry

Restart comes 3.7 + 0.6 s after SIGTERM however early the sender leaves.

At fault: runtime.py's _HAND_OVER and _LAST_ATTEMPT; policy.py _list (never forgot, and cost endpoints x destinations for each change); core/sender.py _learn; core/config.py update, where one bad entry failed the whole answer.

--- a/mountgauge/core/config.py
+++ b/mountgauge/core/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,8 +12,11 @@
 import orjson
 
 from mountgauge.core.ports import NextHop
+from mountgauge.log import kv
 from rillspindle.interface import Entry, Readiness, Settings
 
+log = logging.getLogger("mountgauge.config")
+
 _STATES = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
 
@@ -51,10 +55,23 @@
     def update(self, raw: Any) -> MapUpdate:
         """Discovery's form of the list, checked; ValueError where it is not that."""
         try:
-            hops = tuple(self._hop(line) for line in raw["servers"])
-            return MapUpdate(int(raw["version"]), bool(raw["full"]), hops)
+            lines = list(raw["servers"])
+            version, full = int(raw["version"]), bool(raw["full"])
         except (KeyError, TypeError, IndexError) as error:
             raise ValueError(f"not a list of endpoints: {error!r}") from None
+        hops = []
+        for line in lines:
+            try:
+                hops.append(self._hop(line))
+            except (KeyError, TypeError, IndexError, ValueError, OverflowError, AttributeError) as error:
+                # The others still hold. What this one has become is not known, so nothing new goes there.
+                log.warning("entry-not-read", extra=kv(entry=str(line)[:200], error=repr(error)[:200]))
+                if isinstance(line, dict) and isinstance(name := line.get("id"), str):
+                    gone = Entry(Readiness.GONE, 0.0, 0.0, 0, -1, 0, name.encode(errors="replace"))
+                    hops.append(NextHop(name, "", 0, gone))
+        if full and lines and all(hop.entry.readiness == Readiness.GONE for hop in hops):
+            raise ValueError("no endpoint of the list can be read")
+        return MapUpdate(version, full, tuple(hops))
 
     def _hop(self, line: Mapping[str, Any]) -> NextHop:
         address = Address.parse(line["addr"], "addr")
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -131,15 +131,24 @@
         self._soon()
 
     def _learn(self, update: MapUpdate, how: ListKind) -> None:
-        if how != io.ListKind.DELTA:  # absent from a whole list: gone
-            self.hops = {}
+        before, entries = self.hops, list[io.Entry]()
+        self.hops = {} if how != io.ListKind.DELTA else dict(before)  # absent from a whole list: gone
         for hop in update.hops:
+            old = before.get(hop.id)
+            if old is not None and (*old[:3], old.entry.owner) != (*hop[:3], hop.entry.owner):
+                # Under an old id at a new place it is another: it must inherit nothing.
+                entries.append(old.entry._replace(readiness=Readiness.GONE))
+            entries.append(hop.entry)
             if hop.entry.readiness == Readiness.GONE:
                 self.hops.pop(hop.id, None)
             else:
                 self.hops[hop.id] = hop
+        for hop_id, old in before.items():
+            if (new := self.hops.get(hop_id)) is None or new[:3] != old[:3]:
+                self.next_hops.close_idle(hop_id)
         self.version = update.version
         now = self.clock.now()
+        self.waits = {limit: until for limit, until in self.waits.items() if until > now}
         for hop in self.hops.values():
             self.listed[hop.entry.owner] = math.inf
         for dest in self.listed.keys() - {hop.entry.owner for hop in self.hops.values()}:
@@ -147,7 +156,7 @@
             self.listed[dest] = min(self.listed[dest], now + _KNOWN_FOR)
             if self.listed[dest] <= now:
                 del self.listed[dest]
-        self._ready.append(io.Targets(how, update.version, tuple(hop.entry for hop in update.hops)))
+        self._ready.append(io.Targets(how, update.version, tuple(entries)))
 
     # The turn
 
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -31,9 +31,10 @@
 
 log = logging.getLogger("mountgauge.run")
 
-_HAND_OVER = 0.6  # s after SIGTERM in which clients may still come
-_LAST_ATTEMPT = 2.4  # s after SIGTERM from which nothing new is sent
-_LEAVE = 3.3  # s after SIGTERM at which what is still out is left to the journal
+# The others carry this one's share until it is back, so it serves as long as it may: 3.7 s.
+_HAND_OVER = 2.2  # s after SIGTERM in which clients may still come
+_LAST_ATTEMPT = 3.0  # s after SIGTERM from which nothing new is sent
+_LEAVE = 3.35  # s after SIGTERM at which what is still out is left to the journal
 _SPARE_SOCKETS = 48  # the loop, the log, the journal, discovery, notices
 _WATCH_MOST = 60.0
 _MOST_PUBLISHERS = 64  # AMQP connections: each may hold a megabyte of bodies under way
--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -35,6 +35,7 @@
 OPEN_SHARE = 0.9  # most of what may be held in all: past all of it the door shuts for every destination
 RETRY_AFTER_ERROR = 0.3  # s before a message goes out again after an error; doubles with each attempt
 NODES_PER_SLOT = 4  # nodes for each slot of one from which idle connections fill tables, and retries limits
+FORGET = 10  # times the warm-up after which a destination without endpoints or messages is forgotten
 LOG_LINES = 60  # most log lines of one instance
 
 
@@ -92,9 +93,12 @@
         elif event.how != io.ListKind.CACHED:
             self.watch_tries = 0
         if event.how != io.ListKind.DELTA:  # an endpoint missing from a whole list is gone
-            for ep in self.eps.values():
-                ep.ready = False
+            listed = {entry.endpoint for entry in event.entries}
+            self.eps = {name: ep for name, ep in self.eps.items() if name in listed}
         for entry in event.entries:
+            if entry.readiness == Readiness.GONE:  # whoever comes under its id later is another
+                self.eps.pop(entry.endpoint, None)
+                continue
             dest = self.dests.setdefault(entry.owner, Dest(entry.owner))
             route = Route() if self.set.routes_apart[entry.kind] else dest.route
             new = Endpoint(entry.endpoint, entry.zone, entry.kind, dest, route, FIRST_USUAL, FIRST_USUAL / 2)
@@ -102,9 +106,19 @@
             ep.ready = entry.readiness == Readiness.READY
             if self.set.weights in ("nominal", "rough") and entry.scale > 0:
                 ep.route.limit = entry.scale / self.set.balancers * WEIGHT_TRUST
-        for dest in self.dests.values():
-            dest.endpoints = [ep for ep in self.eps.values() if ep.dest is dest and ep.ready]
+        ready: dict[int, list[Endpoint]] = {}
+        for ep in self.eps.values():
+            if ep.ready:
+                ready.setdefault(ep.dest.id, []).append(ep)
+        named = {ep.dest.id for ep in self.eps.values()} | {msg.dest.id for msg in self.msgs.values()}
+        for dest in list(self.dests.values()):
+            dest.endpoints = ready.get(dest.id, [])
             self._pump(dest)
+            latest = max(dest.seen_at, dest.route.rate_at, dest.route.cold_since)
+            if dest.id in named:
+                dest.seen_at = self.now
+            elif self.now - latest > FORGET * self.set.cold:
+                del self.dests[dest.id]
 
     # Life of a message
 
@@ -186,9 +200,9 @@
         if token == 1 << 40:
             self.out.append(io.Watch(True))
         elif token >= 1 << 32:
-            dest = self.dests[token - (1 << 32)]
-            dest.wake_at = math.inf
-            self._pump(dest)
+            if (dest := self.dests.get(token - (1 << 32))) is not None:
+                dest.wake_at = math.inf
+                self._pump(dest)
         elif (msg := self.msgs.get(token)) is not None and not msg.out:
             if self._last_moment(msg) <= self.now + self.set.tick:
                 self._end(msg)
--- a/rillspindle/state.py
+++ b/rillspindle/state.py
@@ -71,6 +71,7 @@
     route: Route = field(default_factory=Route)
     wake_at: float = math.inf
     taken: int = 0  # messages taken for it
+    seen_at: float = 0.0  # last listed, or asked for
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -87,6 +87,18 @@
     run(main())
 
 
+def test_one_unreadable_entry_does_not_fail_the_list() -> None:
+    line = {"id": "s-1", "addr": "127.0.0.1:80", "zone": "b", "kind": "m2", "cell": 3, "state": "active"}
+    bad: list[Any] = [7, {}, {**line, "id": "s-2", "addr": "nowhere"}, {**line, "id": "s-3", "state": "odd"},
+                      {**line, "id": "s-4", "cell": "x"}, {**line, "id": "s-5", "weight": None}]  # fmt: skip
+    for one in bad:
+        update = NAMES.update({"version": 3, "full": True, "servers": [one, line]})
+        assert [hop.id for hop in update.hops if hop.entry.readiness == Readiness.READY] == ["s-1"]
+        # Nothing new goes to one that was known and has become unreadable.
+        gone = [hop.id for hop in update.hops if hop.entry.readiness == Readiness.GONE]
+        assert gone == ([one["id"]] if isinstance(one, dict) and "id" in one else [])
+
+
 def test_silence_is_timed_out() -> None:
     async def main() -> None:
         server, owner = HttpServer(lambda m: asyncio.sleep(60, None)), Owner(3)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -105,6 +105,11 @@
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.4)
         assert await platform.send(("b", "keyed")) == [b"+OK\r\n"]  # new connections still come
+        reader, kept = await asyncio.open_connection(HOST, platform.port)
+        await asyncio.sleep(1.2)  # and those that stay open are served on: the others carry the rest
+        kept.write(b"*1\r\n$4\r\nPING\r\n")
+        assert await reader.readline() == b"+PONG\r\n"
+        kept.close()
         await asyncio.sleep(0.6)
         platform.hold.set()  # what is out is finished
         assert await process.wait() == 0
