--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -14,13 +14,13 @@
 from rillspindle.interface import Outcome, Readiness
 from rillspindle.state import Call, Dest, Endpoint, Message, Route
 
-FAIL_WINDOW = 2.0  # s; short, as the paper's "Future" wishes: a trial costs one message, silence costs many
+FAIL_WINDOW = 1.0  # s; short, as the paper's "Future" wishes: a trial costs one message, silence costs many
 TRIAL_SHARE = 0.5  # of what a cold destination bears; the rest is for nodes that know of no outage
 JITTER = 0.25  # share by which windows and retries are spread, so that nodes don't try together
 FIRST_USUAL = 0.5  # s; usual time of an endpoint that has not answered yet
 SMOOTH, SMOOTH_DEV = 1 / 8, 1 / 4  # gains of the mean and deviation of answer times, as in RFC 6298
 LATE_DEVS = 4.5  # deviations past the mean at which an attempt is given up: answer times have long tails
-LEAST_PATIENCE = 0.25  # of the aim; for less, an answer is not late, and a false alarm shuts an endpoint
+LEAST_PATIENCE = 0.4  # of the aim; sooner than that no answer is late, and a false alarm shuts an endpoint
 PROVEN = 2  # failures in a row that may be chance; more are an outage
 BAD_GAIN = 0.25  # weight of the newest outcome in an endpoint's share of bad ones
 UNSAFE_BAD, AILING, DEAD = 0.3, 0.6, 0.8  # shares of bad outcomes: no unsafe message; an outage; down
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,7 +15,7 @@
 from rillspindle import Policy
 from rillspindle import interface as i
 from rillspindle.interface import ListKind, Outcome, Readiness
-from rillspindle.policy import LEAST_PATIENCE
+from rillspindle.policy import FAIL_WINDOW, LEAST_PATIENCE
 from tests.driver import Driver, entry
 from tests.settings import grade, settings
 
@@ -347,9 +347,9 @@
     d.incoming(1)
     d.respond(1, Outcome.CONNECT_FAILED)
     assert not d.issued(), "neither a trial nor a sibling at once, from each of many nodes"
-    d.advance(d.now + 1.9)
+    d.advance(d.now + 0.95 * FAIL_WINDOW)
     assert not d.pending()
-    d.advance(d.now + 2)
+    d.advance(d.now + FAIL_WINDOW)
     assert len(d.pending()) == 1, "one trial for all endpoints of the route"
 
 
