Displace clients by what they have done; don't take a stale kept connection for an outage

Checked: counts of how client connections fare: 1,144 of those at rest and 226 silent ones displaced in 5 s, each first command a PING; no answer but +OK and +PONG, so nothing was refused. They are the usual clients, about to hand in; the places are held by those that handed in once and stayed.

At fault: clients.py _make_room went by rest alone; socket_shares gave next hops 112 places of which 60 were ever used; next_hops.py reported a reset on a kept connection as any other, and policy.py _judge shut endpoints for it.

Each has a test that fails without it.

--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from typing import cast
 
@@ -117,6 +117,7 @@
         self._drain: Drain | None = None  # once nothing more is heard
         self._bad = 0
         self.closing = self.closed = False
+        self.handed_in = 0  # messages, changed while it is in no list of those that rest
         self.greeted = False  # a whole command has come
         self.since = 0.0  # when it came, or was last left with nothing asked
         self.ending = 0.0  # when it was closed
@@ -125,6 +126,10 @@
     def idle(self) -> bool:
         return not self._slots
 
+    @property
+    def rank(self) -> int:
+        return (1, 0, 2)[min(self.handed_in, 2)]
+
     @property
     def halfway(self) -> bool:
         return self._parser.partial
@@ -276,10 +281,13 @@
         self._connections: set[ClientConnection] = set()
         # Those that nothing was asked on, longest first: since they joined, and since their last answer.
         self._silent: dict[ClientConnection, None] = {}
-        self._resting: dict[ClientConnection, None] = {}
+        # These in three ranks, the first to be displaced first: who asked once and stayed, who has only said
+        # PING and may be about to hand in its first message, and who uses its connection again and again.
+        self._resting: tuple[dict[ClientConnection, None], ...] = ({}, {}, {})
         self._leaving: dict[ClientConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._look_timer: asyncio.TimerHandle | None = None
+        self.counts: Counter[tuple[str, str]] = Counter()  # how connections fared
         self.port = 0
 
     async def listen(self, host: str, port: int) -> None:
@@ -287,7 +295,9 @@
 
     def joined(self, connection: ClientConnection) -> None:
         """Descriptors are bounded: one that asks nothing goes, as a sender may close between requests."""
+        self.counts["clients", "joined"] += 1
         if len(self._connections) >= self._most and not self._make_room():
+            self.counts["clients", "turned-away"] += 1
             connection.turn_away()
             return
         self._connections.add(connection)
@@ -298,7 +308,7 @@
     def _make_room(self) -> bool:
         then = asyncio.get_running_loop().time() - _YOUNG
         leaving, silent = next(iter(self._leaving), None), next(iter(self._silent), None)
-        resting = next(iter(self._resting), None)
+        resting = next((c for of in self._resting for c in of), None)
         if leaving is not None and leaving.ending < then:  # it has had time to read its last answer
             oldest: ClientConnection | None = leaving
         elif silent is not None and silent.since < then:
@@ -307,6 +317,7 @@
             oldest = resting or leaving or silent
         if oldest is None:
             return False
+        self.counts["clients", "displaced-resting" if oldest is resting else "displaced"] += 1
         if oldest is resting:
             oldest.close()
         else:
@@ -316,16 +327,15 @@
 
     def _forget(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
-        self._silent.pop(connection, None)
-        self._resting.pop(connection, None)
+        self.busy(connection)
 
     def busy(self, connection: ClientConnection) -> None:
         self._silent.pop(connection, None)
-        self._resting.pop(connection, None)
+        self._resting[connection.rank].pop(connection, None)
 
     def rests(self, connection: ClientConnection) -> None:
         if connection in self._connections:
-            self._resting[connection] = None
+            self._resting[connection.rank][connection] = None
 
     def leaving(self, connection: ClientConnection) -> None:
         self.busy(connection)
@@ -342,11 +352,12 @@
             if now - connection.since < _SILENCE:
                 break
             self._let_go(connection)
-        for connection in list(self._resting):
-            if now - connection.since < _SILENCE:
-                break
-            if connection.halfway or now - connection.since >= _IDLE:
-                self._let_go(connection)
+        for of in self._resting:
+            for connection in list(of):
+                if now - connection.since < _SILENCE:
+                    break
+                if connection.halfway or now - connection.since >= _IDLE:
+                    self._let_go(connection)
         for connection in list(self._leaving):
             if now - connection.ending < LINGER:
                 break
@@ -356,8 +367,9 @@
             self._look_timer = asyncio.get_running_loop().call_later(_LOOK, self._look)
 
     def _let_go(self, connection: ClientConnection) -> None:
-        self._silent.pop(connection, None)
-        self._resting.pop(connection, None)
+        self.busy(connection)
+        what = "halfway" if connection.halfway else "idle" if connection.greeted else "silent"
+        self.counts["clients", what] += 1
         if connection.halfway:
             connection.refuse("Protocol error: a command was not finished in time")
         else:
@@ -380,7 +392,9 @@
             content = b"+PONG\r\n" if len(args) == 1 else b"$%d\r\n%b\r\n" % (len(args[1]), args[1])
             connection.answer(slot, content)
         elif command == b"ENQUEUE":
-            self._submit(self._submission(args, connection, slot))
+            submission = self._submission(args, connection, slot)
+            connection.handed_in += 1
+            self._submit(submission)
         else:
             raise BadRequest(f"unknown command '{_shown(args[0])}'")
 
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -74,6 +74,7 @@
     over: bool = False  # the message has ended, nothing more is owed
     wait: float = 0.0  # s, told to wait
     note: int = 0  # for MOOT: 1 where all slots were taken
+    stale: bool = False  # for RESET: on a kept connection, with nothing answered
 
 
 @dataclass(slots=True, eq=False)
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -407,7 +407,8 @@
     def _respond(self, number: int, send_no: int, endpoint: bytes, spent: float, result: Result) -> None:
         over = result.over or result.outcome == Outcome.OK
         remark = result.note if result.outcome == Outcome.MOOT else math.ceil(result.wait * 1000)
-        self._ready.append(io.Response(number, spent, endpoint, result.outcome, send_no, over, remark, ()))
+        outcome, stale = result.outcome, result.stale
+        self._ready.append(io.Response(number, spent, endpoint, outcome, send_no, over, remark, (), stale))
         self._soon()
 
     # Ends
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -6,6 +6,7 @@
 import base64
 import logging
 import math
+from bisect import bisect
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -30,6 +31,31 @@
 }
 
 
+_IDLE_STEPS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # s: bounds of the ranges that are told apart
+_GAIN = 1 / 16  # weight of the newest use in a range's share of stale ones
+_STALE = 0.15  # share past which a new connection costs less than what a reset does
+_AGAIN = 16  # of so many kept ones in a range that is left alone, one is used all the same
+
+
+class Kept:
+    """How kept connections fared, by how long they had been idle: partners drop them sooner than they say."""
+
+    def __init__(self) -> None:
+        self._stale = [0.0] * (len(_IDLE_STEPS) + 1)
+        self._skipped = [0] * len(self._stale)
+
+    def usable(self, idle: float) -> bool:
+        place = bisect(_IDLE_STEPS, idle)
+        if self._stale[place] <= _STALE:
+            return True
+        self._skipped[place] = (self._skipped[place] + 1) % _AGAIN
+        return not self._skipped[place]
+
+    def fared(self, idle: float, stale: bool) -> None:
+        place = bisect(_IDLE_STEPS, idle)
+        self._stale[place] += _GAIN * (stale - self._stale[place])
+
+
 Place = tuple[str, str, int]  # a next hop at an address: it may move
 
 
@@ -47,6 +73,7 @@
     task: asyncio.Task[None] | None = None
     going: list[Item] = field(default_factory=list)
     stopped: Outcome | None = None
+    idle: float | None = None  # s that its connection had been kept, None for a new one
 
 
 class HttpNextHops:
@@ -58,6 +85,7 @@
         self._pools: dict[Place, list[Connection]] = {}  # idle ones, the freshest last
         self._open = 0
         self._out: dict[Call, _Out] = {}
+        self._kept = Kept()
         self.opened = 0
 
     # The pool
@@ -68,7 +96,7 @@
         while pool:
             connection = pool.pop()
             fresh = connection.state is State.IDLE and now - connection.idle_since < self._idle
-            if fresh and connection.silent:
+            if fresh and connection.silent and self._kept.usable(now - connection.idle_since):
                 return connection
             connection.close()
         return None
@@ -118,6 +146,7 @@
         self._out[call] = out
         if (connection := self._pick(_place(call.hop))) is not None:
             out.connection = connection
+            out.idle = loop.time() - connection.idle_since
             self._send(out)
         elif self._make_room():
             self._open += 1
@@ -176,10 +205,14 @@
 
     def _answered(self, out: _Out, message: Message, flushed: bool) -> None:
         results: dict[int, Result] = {}
+        lost = message.start is None and out.stopped is None and not message.spoilt
+        if out.idle is not None:
+            self._kept.fared(out.idle, lost)
         cut = not message.head_done and not message.spoilt and message.status != 200
         if cut or (message.status == 0 and not (message.spoilt and flushed)):
             # With its last byte not written, the call has not begun at the next hop.
             result = Result((out.stopped or Outcome.RESET) if flushed else Outcome.CONNECT_FAILED)
+            result = result._replace(stale=lost and out.idle is not None)
             results = {item.number: result for item in out.going}
         elif message.spoilt and (len(out.going) > 1 or message.status != 200):
             # The next hop is there and has read the call: an error, not an outage.
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -85,7 +85,7 @@
 def socket_shares(sockets: int, workers: int) -> tuple[int, int]:
     """How many connections clients and next hops may have; together with the spare ones under the limit."""
     usable = max(8, sockets - _SPARE_SOCKETS)
-    hops = max(4, min(usable // 3, 16 * workers))
+    hops = max(4, min(usable // 3, 6 * workers))
     return max(4, min(512, usable - hops)), hops
 
 
@@ -201,7 +201,11 @@
 
     def snapshot(self) -> Snapshot:
         sender = self.sender
-        return Snapshot(sender.counts.copy(), len(sender.held), sender.calls, sender.rules.workers)
+        counts = sender.counts.copy()
+        for listener, _ in self.listeners:
+            if isinstance(listener, Clients):
+                counts.update(listener.counts)
+        return Snapshot(counts, len(sender.held), sender.calls, sender.rules.workers)
 
     def report(self) -> Mapping[str, Any]:
         now = self.snapshot()
--- a/rillspindle/interface.py
+++ b/rillspindle/interface.py
@@ -89,6 +89,7 @@
     over: bool
     remark_ms: int
     stats: tuple[float, ...]
+    stale: bool = False  # a reset met a kept connection, which may have gone before; never on the wire
 
 
 class UnderWay(NamedTuple):
--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -384,8 +384,10 @@
         ep, outcome = call.ep, event.outcome
         if event.remark_ms > 0 and outcome != Outcome.MOOT:
             ep.route.wait_until = max(ep.route.wait_until, self.now + event.remark_ms / 1000)
-        if outcome == Outcome.TIMEOUT and event.spent + self.set.tick < call.patience:
-            # the message's own time ended the attempt, which says nothing of its endpoint
+        cut_off = outcome == Outcome.TIMEOUT and event.spent + self.set.tick < call.patience
+        if cut_off or event.stale:
+            # the message's own time ended the attempt, or a kept connection had gone, which says nothing of
+            # the endpoint: where it has gone too, the next attempt gets no connection
             if call.trial and not call.left:
                 ep.trial, ep.window_end = False, self.now
                 ep.route.window_end = min(ep.route.window_end, self.now)
--- a/tests/test_next_hops.py
+++ b/tests/test_next_hops.py
@@ -237,6 +237,37 @@
     run(main())
 
 
+def test_a_reset_on_a_kept_connection_is_told_apart_and_learnt_from() -> None:
+    """Partners drop kept connections long before they say so: each cost a reset, taken for an outage."""
+
+    async def main() -> None:
+        class Forgetful(HttpServer):
+            async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                began = 0.0
+                for last in (False, True):
+                    await reader.readuntil(b"\r\n\r\nx")
+                    if last and asyncio.get_running_loop().time() - began > 0.05:
+                        return  # kept too long, by its own count
+                    began = asyncio.get_running_loop().time()
+                    writer.write(GOOD)
+
+        server, owner = Forgetful(lambda m: asyncio.sleep(0, None)), Owner()
+        await server.start()
+        hops = HttpNextHops(owner, 0.5, 5.0, 8)
+        for n in range(24):
+            hops.start(call(server.port))
+            await until(lambda n=n: len(owner.done) == n + 1)  # type: ignore[misc]
+            await asyncio.sleep(0.06)
+        found = [results[0] for _, results in owner.done]
+        stale = [n for n, result in enumerate(found) if result.outcome == Outcome.RESET]
+        assert stale and all(found[n].stale for n in stale)
+        assert len(stale) <= 4 and not any(result.stale for result in found if result.outcome == OK)
+        hops.close()
+        await server.stop()
+
+    run(main())
+
+
 def test_idle_connections_go_before_the_other_side_closes_them() -> None:
     async def main() -> None:
         server, owner = HttpServer(lambda m: asyncio.sleep(0, response(200, "OK", {}, b""))), Owner()
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -173,6 +173,34 @@
     run(main())
 
 
+def test_who_asked_once_and_stayed_goes_before_who_is_about_to_ask_or_asks_again() -> None:
+    """By rest alone, the usual clients went: between their PING and their first message, or two messages."""
+
+    async def main() -> None:
+        async def test(front: Clients) -> None:
+            ready, steady = [await asyncio.open_connection(HOST, front.port) for _ in range(2)]
+            ready[1].write(command(b"PING"))
+            assert await ready[0].readline() == b"+PONG\r\n"
+            for n in range(2):
+                steady[1].write(enqueue(b"s%d" % n))
+                assert await steady[0].readline() == b"+OK\r\n"
+            stayed = []
+            for n in range(20):
+                stayed.append(await asyncio.open_connection(HOST, front.port))
+                stayed[-1][1].write(enqueue(b"m%d" % n))
+                assert await stayed[-1][0].readline() == b"+OK\r\n"
+            for n, peer in enumerate((ready, steady)):
+                peer[1].write(enqueue(b"r%d" % n))
+                assert await peer[0].readline() == b"+OK\r\n"
+            assert len(front._connections) <= 8 and front.counts["clients", "displaced-resting"] >= 12
+            for peer in (ready, steady, *stayed):
+                peer[1].transport.abort()
+
+        await with_clients(test, most=8)
+
+    run(main())
+
+
 def test_with_no_place_left_a_client_is_deferred() -> None:
     async def main() -> None:
         async def test(front: Clients) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -188,6 +188,22 @@
     assert d.issued()
 
 
+def test_a_kept_connection_that_had_gone_says_nothing_of_the_endpoint() -> None:
+    d = node(entry(1))
+    for number in range(10):
+        d.incoming(number)
+        d.now += 0.2
+        d.respond(number, Outcome.OK)
+    for number in range(20, 24):
+        d.incoming(number)
+    for number in range(20, 24):
+        d.held[number].sends[0]["outcome"] = Outcome.RESET
+        d.feed(i.Response(number, 0.01, entry(1).endpoint, Outcome.RESET, 0, False, 0, (), True))
+    ep = next(iter(d.policy.eps.values()))
+    assert (ep.misses, ep.bad, ep.failed_at) == (0, 0.0, 0.0)
+    assert sorted({m for m, _ in d.pending()}) == [20, 21, 22, 23], "all of them go again at once"
+
+
 def test_a_trial_cut_off_by_its_messages_time_makes_way_for_another() -> None:
     d = node(entry(1))
     for number in range(100, 300):
