Pass over what is held where nothing can go, so that its cost no longer grows with each event

Seen: a probe of the module with one destination's gate open and its slots taken: 1.0 ms an event with 50 messages held, 1.7 with 200, 3.2 with 800 (three times the messages on part of a core leave 2 to 3 ms each).

Ruled out: _drain_time, which goes by endpoints.

At fault, policy.py _pump: each event weighed and sorted all that was held, then tried every one of them, also where every slot was taken and after the first had shown that nothing more could go.

The test counts what is weighed and tried and fails without the change.

--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -269,7 +269,10 @@
         if not dest.held:
             return
         wake = math.inf
-        if any(self._may_call(ep) <= self.now for ep in dest.endpoints):
+        open_gate = any(self._may_call(ep) <= self.now for ep in dest.endpoints)
+        if open_gate and self.busy >= self.set.workers and not any(map(self._joins, dest.endpoints)):
+            self.starved = True  # what is held is not looked through where nothing can go
+        elif open_gate:
             then = self.now + self._drain_time(dest)
             loss = {m.id: m.worth(then) - m.worth(self.now) for m in dest.held.values()}
             for msg in sorted(dest.held.values(), key=lambda m: (loss[m.id], m.born)):
@@ -277,6 +280,8 @@
                     wake = min(wake, turn)
                 elif (ep := self._choose(msg)) is not None:
                     self._send(msg, ep)
+                elif not msg.ran and msg.grade.semantics != "at_most_once":
+                    break  # one that may go anywhere found no place: nor will the rest
         if dest.held:
             wake = min([wake, *(at for ep in dest.endpoints if (at := self._may_call(ep)) > self.now)])
             if wake < dest.wake_at - self.set.tick:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,6 +16,7 @@
 from rillspindle import interface as i
 from rillspindle.interface import ListKind, Outcome, Readiness
 from rillspindle.policy import FAIL_WINDOW, LEAST_PATIENCE
+from rillspindle.state import Message
 from tests.driver import Driver, entry
 from tests.settings import grade, settings
 
@@ -224,6 +225,33 @@
     assert [m for m, _ in d.pending()] == [4], "at once, not after another window"
 
 
+def test_what_is_held_is_not_looked_through_where_nothing_can_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each event weighed and tried all that was held, though every slot was taken."""
+    d = node(entry(1), entry(2, dest=1))
+    for number in range(8):
+        d.incoming(number, dest=number % 2)  # all slots
+    for number in range(20, 34):
+        d.incoming(number)
+    weighed, tried = [0], [0]
+    worth, choose = Message.worth, Policy._choose
+
+    def weigh(msg: Message, at: float) -> float:
+        weighed[0] += 1
+        return worth(msg, at)
+
+    def attempt(policy: Policy, msg: Message) -> Any:
+        tried[0] += 1
+        return choose(policy, msg)
+
+    monkeypatch.setattr(Message, "worth", weigh)
+    monkeypatch.setattr(Policy, "_choose", attempt)
+    d.incoming(50)
+    assert (weighed[0], tried[0]) == (0, 0)
+    d.now += 0.2
+    d.respond(0, Outcome.OK)
+    assert d.issued() and tried[0] <= 2, "one went, and the next one found no slot"
+
+
 def test_a_slots_worth_counts_all_that_travels_in_its_call() -> None:
     d = node(entry(1), entry(2, dest=1, kind=1))
     for number in range(40):
