Move the checked tables of settings files into a module of their own

Need: subsystems are to read their own tables of an operator's file without importing the whole of it. Change: _Table and read move to settings_table.py unchanged, as Table and read; the agent no longer reaches for a private name.

--- a/mountgauge/agent.py
+++ b/mountgauge/agent.py
@@ -14,7 +14,8 @@
 
 from mountgauge.core.config import Address, ConfigError
 from mountgauge.log import kv
-from mountgauge.operator_file import Operator, _Table, load, read
+from mountgauge.operator_file import Operator, load
+from mountgauge.settings_table import Table, read
 from mountgauge.status import StatusServer
 
 log = logging.getLogger("mountgauge.agent")
@@ -34,9 +35,9 @@
 
 def load_agent(path: Path) -> AgentFile:
     """The agent's file and all that it names: a fault in any of them shows before anything starts."""
-    top = _Table(read(path), "")
+    top = Table(read(path), "")
     try:
-        agent = top.table("agent") or _Table({}, "agent")
+        agent = top.table("agent") or Table({}, "agent")
         listen = agent.address("listen") or Address("127.0.0.1", 9100)
         if not listen.host.startswith("127."):
             raise ConfigError("agent.listen: only on loopback")
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -12,8 +12,9 @@
 from mountgauge import __version__, agent
 from mountgauge.core.config import Address, Config, ConfigError
 from mountgauge.log import set_up
-from mountgauge.operator_file import load, read
+from mountgauge.operator_file import load
 from mountgauge.runtime import serve
+from mountgauge.settings_table import read
 from mountgauge.status import ask
 
 
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from mountgauge.amqp.next_hops import Account
 from mountgauge.core.config import Address, Config, ConfigError, Limits, MapUpdate, Names
 from mountgauge.core.ports import NextHop
+from mountgauge.settings_table import Table, read
 from rillspindle.interface import Entry, Readiness, Settings
 
 _STATES = {"active": Readiness.READY, "leaving": Readiness.DRAINING}
@@ -55,61 +55,9 @@
     otlp: Otlp | None
 
 
-@dataclass(slots=True)
-class _Table:
-    """One table of the file: typed access, and a plain word on anything unknown or of the wrong type."""
-
-    raw: Mapping[str, Any]
-    name: str
-    seen: set[str] = field(default_factory=set)
-
-    def get(self, key: str, *kinds: type, default: Any = None) -> Any:
-        self.seen.add(key)
-        value = self.raw.get(key, default)
-        where = f"{self.name}.{key}" if self.name else key
-        if value is None:
-            raise ConfigError(f"{where}: missing")
-        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise ConfigError(f"{where}: wrong type")
-        return value
-
-    def positive(self, key: str, default: float | None = None) -> float:
-        value = float(self.get(key, int, float, default=default))
-        if value <= 0:
-            raise ConfigError(f"{self.name}.{key}: must be above 0")
-        return value
-
-    def address(self, key: str) -> Address | None:
-        if key not in self.raw:
-            return None
-        return Address.parse(self.get(key, str), f"{self.name}.{key}" if self.name else key)
-
-    def table(self, key: str) -> _Table | None:
-        return _Table(self.get(key, dict), key) if key in self.raw else None
-
-    def tables(self, key: str) -> list[_Table]:
-        found = self.get(key, list, default=[])
-        if not all(isinstance(one, dict) for one in found):
-            raise ConfigError(f"{key}: not a list of tables")
-        return [_Table(one, f"{key}[{place}]") for place, one in enumerate(found)]
-
-    def done(self) -> None:
-        if unknown := sorted(set(self.raw) - self.seen):
-            raise ConfigError(f"{self.name + '.' if self.name else ''}{unknown[0]}: unknown setting")
-
-
-def read(path: Path) -> dict[str, Any]:
-    try:
-        return tomllib.loads(path.read_text())
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-
-
 def load(path: Path) -> Operator:
     try:
-        return _operator(path, _Table(read(path), ""))
+        return _operator(path, Table(read(path), ""))
     except ConfigError as error:
         text = " ".join(str(error).split())
         raise ConfigError(text if text.startswith(str(path)) else f"{path}: {text}") from None
@@ -117,13 +65,13 @@
 
 def load_hops(path: Path, version: int) -> Hops:
     """The next hops alone, as the file has them now."""
-    return _hops(_Table(read(path), ""), version)
+    return _hops(Table(read(path), ""), version)
 
 
-def _operator(path: Path, top: _Table) -> Operator:
+def _operator(path: Path, top: Table) -> Operator:
     hops = _hops(top, 1)
     settings = _settings(top, len(hops.update.hops))
-    limits = top.table("limits") or _Table({}, "limits")
+    limits = top.table("limits") or Table({}, "limits")
     state = path.parent / top.get("state", str)
     resp, amqp, otlp = top.table("resp"), top.table("amqp"), top.table("otlp")
     status = top.table("status")
@@ -175,7 +123,7 @@
     return int.from_bytes(name.encode()[:8].ljust(8, b"\0"), "big")
 
 
-def _otlp(table: _Table) -> Otlp:
+def _otlp(table: Table) -> Otlp:
     text = table.get("endpoint", str)
     if not text.startswith("http://"):
         raise ConfigError("otlp.endpoint: not an http:// address")
@@ -192,7 +140,7 @@
     return found
 
 
-def _hops(top: _Table, version: int) -> Hops:
+def _hops(top: Table, version: int) -> Hops:
     hops, protocols, accounts = [], {}, {}
     for table in top.tables("next_hop"):
         hop_id = table.get("id", str)
@@ -229,9 +177,9 @@
     return Hops(MapUpdate(version, True, tuple(hops)), protocols, accounts)
 
 
-def _settings(top: _Table, hops: int) -> dict[str, Any]:
+def _settings(top: Table, hops: int) -> dict[str, Any]:
     """The module's settings, with defaults for what an operator need not say."""
-    rules = top.table("rules") or _Table({}, "rules")
+    rules = top.table("rules") or Table({}, "rules")
     grades = []
     for table in top.tables("class"):
         semantics = table.get("semantics", str)
