--- /dev/null
+++ b/benchmarks/fleet_model.py
@@ -0,0 +1,260 @@
+"""A fleet in virtual time: the real gates and gossip on a network that loses, delays, doubles and splits.
+
+One seed gives one course, to the datagram. Used by the tests and by the tables of `docs/tenants.md`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+
+from mountgauge.tenants.counts import Counts, Entry, Life, Mark
+from mountgauge.tenants.fleet import Fleet, Identity, Out, Place, Plan
+from mountgauge.tenants.gate import Gate
+from mountgauge.tenants.members import Timing
+from mountgauge.tenants.quota import Quota
+from mountgauge.tenants.wire import Seal, tenant_key
+
+KEY = "a key of the virtual fleet"
+FLUSH = 0.1
+
+
+@dataclass(slots=True)
+class Weather:
+    """What the network does to each datagram. Times in seconds."""
+
+    loss: float = 0.0
+    delay: float = 0.005
+    jitter: float = 0.0
+    doubled: float = 0.0
+
+
+@dataclass(slots=True)
+class Disk:
+    """What a node finds when it starts again; None of it after a lost disk."""
+
+    life: int | None = None
+    boot: int = 0
+    own: tuple[int, list[Entry]] = (0, [])
+    pending: dict[int, int] = field(default_factory=dict)
+    others: list[tuple[int, str, int, list[Entry]]] = field(default_factory=list)
+    past: dict[int, int] = field(default_factory=dict)
+    folded: list[tuple[int, Mark]] = field(default_factory=list)
+    past_name: tuple[int, int] = (0, 0)
+
+
+class Node:
+    """One member, started with what its disk holds."""
+
+    def __init__(self, world: World, name: str, place: Place, disk: Disk, clock: float = 0.0) -> None:
+        self.world, self.name, self.place, self.disk = world, name, place, disk
+        self.ahead = clock  # s that its clock is ahead of the world's
+        self.up = True
+        keys = [tenant_key(tenant) for tenant in world.quotas]
+        life = disk.life or world.draw()
+        disk.life, disk.boot = life, disk.boot + 1
+        counts = Counts(keys, len(keys) + 1 + world.spare, life, name)
+        counts.adopt(disk.past, disk.folded, disk.past_name[1], disk.past_name[0])
+        for id, named, version, entries in [*disk.others, (life, name, *disk.own)]:
+            counts.join(id, named, 0, version, entries)
+        me = Identity(name, life, disk.boot, world.draw())
+        self.fleet = Fleet(
+            me, world.plan_for(place), counts, world.seal, self.now, random.Random(world.draw())
+        )
+        self.gate = Gate(world.quotas, counts, self.fleet, self.now, disk.pending)
+        self.taken: Counter[str] = Counter()
+        self.refused = 0
+        self.renewed = 0
+        world.at(world.time + world.rng.uniform(0, world.interval), self._gossip)
+        world.at(world.time + world.rng.uniform(0, FLUSH), self._flush)
+
+    @property
+    def now(self) -> float:
+        return self.world.time + self.ahead
+
+    def offer(self, tenant: str) -> float | None:
+        """A client hands in one message. None where it is taken on."""
+        again = self.gate.admit(tenant, self.now)
+        if again is None:
+            self.gate.taken(tenant)
+            self.taken[tenant] += 1
+            self.world.taken[tenant] += 1
+        else:
+            self.refused += 1
+        return again
+
+    def used(self, tenant: str) -> int:
+        return self.gate.bounds(self.gate.names[tenant], self.now)[0]
+
+    def high(self, tenant: str) -> int:
+        return self.gate.bounds(self.gate.names[tenant], self.now)[1]
+
+    def flush(self) -> None:
+        counts, disk = self.gate.counts, self.disk
+        self.gate.step(self.now)
+        disk.pending = self.gate.pending_by_key()
+        disk.life = counts.mine.id
+        disk.own = (counts.mine.version, _lines(counts, counts.mine))
+        if self.fleet.changed_rest:
+            here = {m.id for m in self.fleet.members.present}
+            disk.others = [
+                (life.id, life.name, life.version, _lines(counts, life))
+                for life in counts.lives.values() if life is not counts.mine and life.id not in here
+            ]  # fmt: skip
+            disk.past = {k: n for k, n in zip(counts.keys, counts.past, strict=True) if n}
+            disk.folded = list(counts.folded.items())
+            disk.past_name = (counts.past_id, counts.past_lives)
+            self.fleet.changed_rest = False
+
+    def _flush(self) -> None:
+        if self.up:
+            self.flush()
+            self.world.at(self.world.time + FLUSH, self._flush)
+
+    def _gossip(self) -> None:
+        if not self.up:
+            return
+        if self.fleet.reborn:
+            self.fleet.renew(self.world.draw(), self.world.draw(), self.now)
+            self.disk.boot = 1
+            self.renewed += 1
+        self.flush()
+        self.world.send(self, self.fleet.tick(self.now))
+        self.world.at(self.world.time + self.world.interval, self._gossip)
+
+    def leave(self) -> None:
+        """As at SIGTERM."""
+        self.fleet.leaving = True
+        for _ in range(3):
+            self.flush()
+            self.world.send(self, self.fleet.tick(self.now))
+        self.up = False
+
+    def kill(self) -> None:
+        """As SIGKILL does: what was counted since the last flush is counted nowhere."""
+        for place, taken in self.gate.pending.items():
+            if (known := self.disk.pending.get(self.gate.counts.keys[place], 0)) < taken:
+                name = next(n for n, p in self.gate.names.items() if p == place)
+                self.world.uncounted[name] += taken - known
+        self.up = False
+
+
+def _lines(counts: Counts, life: Life) -> list[Entry]:
+    return counts.delta(life, 0, 1 << 40)[1]
+
+
+class World:
+    """Nodes, the network between them and the only clock that is true."""
+
+    def __init__(
+        self, quotas: Mapping[str, Quota | None], seed: int, weather: Weather | None = None,
+        interval: float = 0.25, fanout: int = 4, timing: Timing | None = None, spare: int = 64,
+    ) -> None:  # fmt: skip
+        self.quotas, self.weather, self.spare = dict(quotas), weather or Weather(), spare
+        self.rng = random.Random(seed)
+        self.interval, self.fanout = interval, fanout
+        self.timing = timing or Timing(10 * interval, 20 * interval, 86_400, 5.0)
+        self.seal = Seal("virtual", [KEY])
+        self.time = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.at_place: dict[Place, Node] = {}
+        self.places: list[Place] = []
+        self.sides: Callable[[str], int] | None = None  # a split: who is on which side
+        self.taken: Counter[str] = Counter()  # the truth
+        self.uncounted: Counter[str] = Counter()  # what kills have lost of it
+        self.datagrams = self.bytes = self.largest = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+
+    def draw(self) -> int:
+        return self.rng.getrandbits(62) + 1
+
+    def plan_for(self, place: Place) -> Plan:
+        return Plan(
+            tuple(p for p in self.places if p != place), self.interval, self.fanout, self.timing, FLUSH
+        )
+
+    def add(self, *names: str) -> None:
+        """Nodes that know of each other from their files."""
+        fresh = [(name, ("10.0.0.1", len(self.places) + 1 + i)) for i, name in enumerate(names)]
+        self.places += [place for _, place in fresh]
+        for name, place in fresh:
+            self.start(name, place)
+
+    def start(self, name: str, place: Place, disk: Disk | None = None, clock: float = 0.0) -> Node:
+        node = Node(self, name, place, disk or Disk(), clock)
+        self.nodes[name] = self.at_place[place] = node
+        return node
+
+    def restart(self, name: str, keep: bool = True) -> Node:
+        old = self.nodes[name]
+        old.kill()
+        return self.start(name, old.place, old.disk if keep else None, old.ahead)
+
+    def at(self, when: float, then: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), then))
+
+    def until(self, when: float) -> None:
+        assert when >= self.time
+        while self._events and self._events[0][0] <= when:
+            self.time, _, then = heapq.heappop(self._events)
+            then()
+        self.time = when
+
+    def load(self, rates: Mapping[str, float], until: float, names: Sequence[str] | None = None) -> None:
+        """Messages at random moments, for each tenant at this rate, each at a node drawn for it."""
+        for tenant, rate in rates.items():
+            self._next(tenant, rate, until, names)
+
+    def _next(self, tenant: str, rate: float, until: float, names: Sequence[str] | None) -> None:
+        when = self.time + self.rng.expovariate(rate)
+        if when > until:
+            return
+
+        def hand_in() -> None:
+            up = [n for n in (names or self.nodes) if self.nodes[n].up]
+            if up:
+                self.nodes[self.rng.choice(up)].offer(tenant)
+            self._next(tenant, rate, until, names)
+
+        self.at(when, hand_in)
+
+    def send(self, node: Node, out: Out) -> None:
+        for data, place in out:
+            self.datagrams += 1
+            self.bytes += len(data)
+            self.largest = max(self.largest, len(data))
+            weather = self.weather
+            for _ in range(1 + (self.rng.random() < weather.doubled)):
+                if self.rng.random() >= weather.loss:
+                    late = weather.delay + self.rng.uniform(0, weather.jitter)
+                    self.at(self.time + late, lambda d=data, p=place: self._arrive(d, node, p))  # type: ignore[misc]
+
+    def _arrive(self, data: bytes, source: Node, place: Place) -> None:
+        node = self.at_place.get(place)
+        if node is None or not node.up:
+            return
+        if self.sides is not None and self.sides(source.name) != self.sides(node.name):
+            return
+        self.send(node, node.fleet.receive(data, source.place, node.now))
+
+    @property
+    def up(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.up]
+
+    def exact(self) -> bool:
+        """Whether each node that is up counts the truth, but for what kills have lost."""
+        return all(
+            node.used(t) == self.taken[t] - self.uncounted[t] for node in self.up for t in self.quotas
+        )
+
+    def until_exact(self, limit: float) -> float:
+        """Seconds until it is so, no more than the limit."""
+        began = self.time
+        while not self.exact() and self.time - began < limit:
+            self.until(self.time + 0.25)
+        return self.time - began
--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -9,10 +9,11 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
+from mountgauge.access import DEFAULT, Access
 from mountgauge.amqp import codec
 from mountgauge.amqp.codec import AmqpError, Content, Method
 from mountgauge.amqp.link import FRAME_MAX, Link, State
@@ -51,27 +52,12 @@
     content: Content
 
 
-@dataclass(slots=True)
-class Access:
-    """Who may connect; without users, anyone on an address that the operator chose."""
-
-    users: Mapping[str, str] = field(default_factory=dict)
-
-    def allows(self, mechanism: str, response: bytes) -> bool:
-        if not self.users:
-            return True
-        parts = response.split(b"\0")
-        if mechanism != "PLAIN" or len(parts) != 3:
-            return False
-        known = self.users.get(parts[1].decode("utf-8", "replace"))
-        return known is not None and secrets.compare_digest(known.encode(), parts[2])
-
-
 class AmqpConnection(Link):
     def __init__(self, front: AmqpClients) -> None:
         super().__init__(State.HEADER)
         self._front = front
         self._channels: dict[int, Channel] = {}
+        self.tenant = DEFAULT  # of the user who logged in
         self.unsettled = 0
         self.used_at = 0.0
 
@@ -144,8 +130,10 @@
     def _opening(self, name: str, method: Method) -> None:
         args = method.args
         if (self.state, name) == (State.START, "connection.start-ok"):
-            if not self._front.access.allows(args["mechanism"], args["response"]):
+            tenant = self._front.access.login(args["mechanism"], args["response"])
+            if tenant is None:
                 raise AmqpError(403, "ACCESS_REFUSED", True, 10, 11)
+            self.tenant = tenant
             self.state = State.TUNE
             self.send_method(
                 0,
@@ -162,6 +150,8 @@
             self.beat_every(args["heartbeat"])
             self.state = State.OPEN
         elif (self.state, name) == (State.OPEN, "connection.open"):
+            if not self._front.access.opens(args["vhost"]):
+                raise AmqpError(530, "NOT_ALLOWED - no such virtual host", True, 10, 40)
             self.state = State.READY
             self.send_method(0, "connection.open-ok")
         else:
@@ -389,6 +379,7 @@
             "amqp",
             answer,
             lambda: waiter.channel.open,
+            waiter.connection.tenant,
         )
 
     def tell(self, msg_id: str, end: End, told: Callable[[], None]) -> None:
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -1,9 +1,10 @@
-"""The command line: `mountgauge run | agent | status | check`."""
+"""The command line: `mountgauge run | agent | status | tenants | check`."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import json
 import signal
 import sys
 from collections.abc import Sequence
@@ -32,6 +33,9 @@
     run_agent.add_argument("file", type=Path)
     status = commands.add_parser("status", help="show the state that an agent or an instance reports")
     status.add_argument("address", nargs="?", default="127.0.0.1:9100", help="default: %(default)s")
+    tenants = commands.add_parser("tenants", help="show what each tenant has used across the fleet")
+    tenants.add_argument("address", nargs="?", default="127.0.0.1:9100", help="default: %(default)s")
+    tenants.add_argument("--json", action="store_true", help="as one JSON object")
     check = commands.add_parser(
         "check", help="read an operator's or agent's file and say what is wrong with it"
     )
@@ -80,6 +84,23 @@
     return 0 if all(one["state"] == "running" for one in found["instances"]) else 1
 
 
+def _tenants(text: str, as_json: bool) -> int:
+    address = Address.parse(text, "address")
+    try:
+        found = asyncio.run(ask(address, page="/tenants"))
+    except (OSError, ValueError) as error:
+        print(f"mountgauge: {text}: no tenants to be had: {error or type(error).__name__}", file=sys.stderr)
+        return 1
+    if as_json:
+        print(json.dumps(found, indent=2))
+        return 0
+    from mountgauge.tenants.table import tenant_table
+
+    for line in tenant_table(found):
+        print(line)
+    return 0 if found["exact"] and not found["split"] and not found["conflicts"] else 1
+
+
 def _check(file: Path) -> int:
     if "instance" in read(file):
         found = agent.load_agent(file)
@@ -98,6 +119,8 @@
                 return _agent(args.file)
             case "status":
                 return _status(args.address)
+            case "tenants":
+                return _tenants(args.address, args.json)
             case "check":
                 return _check(args.file)
             case "run":
--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
+from mountgauge.access import DEFAULT, Access
 from mountgauge.core.ports import Answer, End, Status, Submission, Taken
 from mountgauge.sockets import LINGER, Drain, serve
 
@@ -93,7 +94,11 @@
 
 
 class BadRequest(ValueError):
-    """A request that is not understood; the connection goes on."""
+    """A request that is not understood or not allowed; the connection goes on."""
+
+    def __init__(self, text: str, code: str = "ERR") -> None:
+        super().__init__(text)
+        self.code = code
 
 
 class Slot:
@@ -117,6 +122,7 @@
         self._drain: Drain | None = None  # once nothing more is heard
         self._bad = 0
         self.closing = self.closed = False
+        self.tenant = ""  # of the user who logged in; none yet
         self.handed_in = 0  # messages, changed while it is in no list of those that rest
         self.greeted = False  # a whole command has come
         self.since = 0.0  # when it came, or was last left with nothing asked
@@ -168,12 +174,12 @@
                 self._bad += 1
                 if self._bad >= _MOST_BAD:
                     self._slots.pop()
-                    self.refuse(str(error))
+                    self.refuse(str(error), error.code)
                     return
-                self._fill(slot, f"-ERR {error}\r\n".encode())
+                self._fill(slot, f"-{error.code} {error}\r\n".encode())
         self._pace()
 
-    def refuse(self, why: str) -> None:
+    def refuse(self, why: str, code: str = "ERR") -> None:
         """Say why, hear nothing more, and close once all that was asked before is answered."""
         if self.closing or self._transport is None:
             return
@@ -183,7 +189,7 @@
         self._drain = Drain(self._transport)
         if self._paused and not self._transport.is_closing():
             self._transport.resume_reading()
-        self._fill(slot, f"-ERR {why}\r\n".encode())
+        self._fill(slot, f"-{code} {why}\r\n".encode())
 
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends too many requests, is not read."""
@@ -272,12 +278,14 @@
         most: int,
         front: str = "platform",
         deadlines: Sequence[float] = (),
+        access: Access | None = None,
     ) -> None:
         self._submit = submit
         self._grades = {name.encode(): place for place, name in enumerate(grades)}
         self._deadlines = deadlines or [math.inf] * len(grades)
         self._most = most
         self._front = front
+        self.access = access  # None on the platform, which knows no users
         self._connections: set[ClientConnection] = set()
         # Those that nothing was asked on, longest first: since they joined, and since their last answer.
         self._silent: dict[ClientConnection, None] = {}
@@ -391,6 +399,9 @@
         if command == b"PING" and len(args) <= 2:
             content = b"+PONG\r\n" if len(args) == 1 else b"$%d\r\n%b\r\n" % (len(args[1]), args[1])
             connection.answer(slot, content)
+        elif command == b"AUTH" and self.access is not None:
+            self._log_in(args, connection, self.access)
+            connection.answer(slot, b"+OK\r\n")
         elif command == b"ENQUEUE":
             submission = self._submission(args, connection, slot)
             connection.handed_in += 1
@@ -398,7 +409,21 @@
         else:
             raise BadRequest(f"unknown command '{_shown(args[0])}'")
 
+    @staticmethod
+    def _log_in(args: list[bytes], connection: ClientConnection, access: Access) -> None:
+        if not access.users:
+            raise BadRequest("AUTH called without any users configured")
+        if len(args) != 3:
+            raise BadRequest("AUTH takes a user and a password")
+        tenant = access.tenant(args[1], args[2])
+        if tenant is None:
+            connection.tenant = ""
+            raise BadRequest("invalid username-password pair", "WRONGPASS")
+        connection.tenant = tenant
+
     def _submission(self, args: list[bytes], connection: ClientConnection, slot: Slot) -> Submission:
+        if self.access is not None and not (connection.tenant or self.access.anonymous):
+            raise BadRequest("Authentication required.", "NOAUTH")
         if len(args) != 5:
             raise BadRequest("wrong number of arguments for 'enqueue'")
         msg_id = _token(args[2], "id")
@@ -428,6 +453,7 @@
             self._front,
             answer,
             lambda: not connection.closed,
+            connection.tenant or DEFAULT,
         )
 
 
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -44,6 +44,7 @@
     front: str
     answer: Callable[[Answer], None]
     waiting: Callable[[], bool]  # whether the client still waits for the answer
+    tenant: str = ""  # to whom it is counted
 
 
 class NextHop(NamedTuple):
@@ -112,6 +113,18 @@
     def tell(self, msg_id: str, end: End, told: Callable[[], None]) -> None: ...
 
 
+class Gate(Protocol):
+    """Counts what is taken on for each tenant, and turns away what is past its quota. Times in s."""
+
+    def admit(self, tenant: str, now: float) -> float | None:
+        """None: it may be taken on. Else in how many seconds to come again."""
+
+    def give_back(self, tenant: str) -> None:
+        """What was admitted was not taken on."""
+
+    def taken(self, tenant: str) -> None: ...
+
+
 class MapSource(Protocol):
     def watch(self, on: bool) -> None: ...
 
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -15,6 +15,7 @@
     Call,
     Clock,
     End,
+    Gate,
     Item,
     MapSource,
     NextHop,
@@ -64,6 +65,7 @@
         self.journal, self.clock, self.fronts = journal, clock, fronts
         self.next_hops: NextHops
         self.map: MapSource
+        self.gate: Gate | None = None  # where tenants are counted
         self.hops: dict[str, NextHop] = {}
         self.version = -1  # none known: 0 is a version like any other
         self.listed: dict[int, float] = {}  # destinations, and until when each counts as one that exists
@@ -224,6 +226,9 @@
             one.answer(End(Status.UNDELIVERABLE) if self.told else End(Status.DEFERRED, _ASK_AGAIN_MS))
         elif len(self.policy.msgs) >= self.rules.max_open or not self.journal.room(len(one.body)):
             one.answer(End(Status.DEFERRED))
+        elif self.gate is not None and (again := self.gate.admit(one.tenant, now)) is not None:
+            self.counts["refused", "quota"] += 1
+            one.answer(End(Status.DEFERRED, math.ceil(again * 1000)))
         else:
             expires = now + one.left
             wall = self.clock.wall() + one.left
@@ -262,6 +267,8 @@
                 try:
                     self.journal.take(held.stored)
                     self.counts["taken", ""] += 1
+                    if self.gate is not None:
+                        self.gate.taken(submission.tenant)
                     submission.answer(Taken())
                     continue
                 except JournalFull as error:
@@ -272,6 +279,8 @@
                     self._soon()
             held.over = True
             self._drop(held)
+            if self.gate is not None:
+                self.gate.give_back(submission.tenant)
             self.counts["refused", end.status.value] += 1
             submission.answer(end)
 
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -5,23 +5,27 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from mountgauge.access import Access, User
 from mountgauge.amqp.next_hops import Account
 from mountgauge.core.config import Address, Config, ConfigError, Limits, MapUpdate, Names
 from mountgauge.core.ports import NextHop
 from mountgauge.settings_table import Table, read
 from rillspindle.interface import Entry, Readiness, Settings
 
+if TYPE_CHECKING:
+    from mountgauge.tenants.settings import TenantFile
+
 _STATES = {"active": Readiness.READY, "leaving": Readiness.DRAINING}
 _PROTOCOLS = ("http", "amqp")
 _KIND = "next-hop"
+_LEAST_JOURNAL = 512 * 1024  # bytes of disk that the journal keeps beside the counts of tenants
 
 
 @dataclass(frozen=True, slots=True)
 class AmqpFront:
     listen: Address
-    users: Mapping[str, str]
     heartbeat: int
     exchange: str
 
@@ -53,6 +57,8 @@
     notices: Address | None
     status: Address | None
     otlp: Otlp | None
+    access: Access
+    tenants: TenantFile | None = None
 
 
 def load(path: Path) -> Operator:
@@ -76,7 +82,7 @@
     resp, amqp, otlp = top.table("resp"), top.table("amqp"), top.table("otlp")
     status = top.table("status")
     name = top.get("name", str)
-    front = None
+    front, users, vhost = None, {}, "/"
     if amqp is not None:
         listen = amqp.address("listen")
         if listen is None:
@@ -85,12 +91,20 @@
         if not all(isinstance(word, str) for word in users.values()):
             raise ConfigError("amqp.users: passwords are text")
         heartbeat = int(amqp.get("heartbeat", int, default=30))
-        front = AmqpFront(listen, users, heartbeat, amqp.get("exchange", str, default="mountgauge"))
+        vhost = amqp.get("vhost", str, default="/")
+        front = AmqpFront(listen, heartbeat, amqp.get("exchange", str, default="mountgauge"))
         amqp.done()
     resp_listen = resp.address("listen") if resp is not None else None
     if front is None and resp_listen is None:
         raise ConfigError("no front: set amqp.listen or resp.listen")
     notices = resp.address("notices") if resp is not None else None
+    tenants, disk = _tenants(top), int(limits.positive("disk_mb", 16) * 1_000_000)
+    if tenants is not None:
+        disk -= (need := _disk_for(tenants))
+        if disk < _LEAST_JOURNAL:
+            least = (need + _LEAST_JOURNAL) / 1e6
+            raise ConfigError(f"limits.disk_mb: {least:.1f} at least, for the counts of so many tenants")
+    access = _access(users, vhost, tenants, resp)
     status_listen = status.address("listen") if status is not None else None
     if status_listen is not None and not status_listen.host.startswith("127."):
         raise ConfigError("status.listen: only on loopback")
@@ -104,7 +118,7 @@
         limits=Limits(
             int(limits.positive("memory_mb", 192) * 1_000_000),
             int(limits.positive("sockets", 1024)),
-            int(limits.positive("disk_mb", 16) * 1_000_000),
+            disk,
         ),
         known=hops.update,
         settings=settings,
@@ -115,7 +129,35 @@
     for table in (top, limits, resp, status):
         if table is not None:
             table.done()
-    return Operator(path, config, hops, resp_listen, front, notices, status_listen, export)
+    return Operator(
+        path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants
+    )  # fmt: skip
+
+
+def _tenants(top: Table) -> TenantFile | None:
+    if not {"fleet", "tenant"} & set(top.raw):
+        return None
+    try:  # with its libraries: only where it is asked for
+        from mountgauge.tenants.settings import read_tenants
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"fleet, tenant: {error.name} is missing: see requirements-fleet.txt") from None
+    return read_tenants(top)
+
+
+def _disk_for(tenants: TenantFile) -> int:
+    from mountgauge.tenants.store import room_for
+
+    return room_for(len(tenants.tenants) + 1)
+
+
+def _access(users: Mapping[str, str], vhost: str, tenants: TenantFile | None, resp: Table | None) -> Access:
+    """One table of users for both fronts; those of `[amqp]` belong to no tenant."""
+    found = {name: User(word) for name, word in users.items()}
+    named = tenants.users if tenants is not None else {}
+    if twice := set(found) & set(named):
+        raise ConfigError(f"amqp.users: '{min(twice)}' is a tenant's user too")
+    anonymous = bool(resp.get("anonymous", bool, default=not named)) if resp is not None else not named
+    return Access({**found, **named}, vhost, anonymous)
 
 
 def hash_name(name: str) -> int:
--- a/mountgauge/otlp.py
+++ b/mountgauge/otlp.py
@@ -10,7 +10,7 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -64,7 +64,51 @@
     }
 
 
-def encode(instance: str, snapshot: Snapshot, start: int, now: int) -> bytes:
+def _points(name: str, unit: str, start: int, now: int, points: list[tuple[dict[str, str], Any]],
+            monotonic: bool) -> dict[str, Any]:  # fmt: skip
+    """A sum where the values only grow, else a gauge, with attributes by point."""
+    data = [
+        {
+            "attributes": [{"key": k, "value": {"stringValue": v}} for k, v in attributes.items()],
+            "timeUnixNano": str(now),
+            **({"startTimeUnixNano": str(start)} if monotonic else {}),
+            **({"asInt": str(value)} if isinstance(value, int) else {"asDouble": value}),
+        }
+        for attributes, value in points
+    ]
+    if not monotonic:
+        return {"name": name, "unit": unit, "gauge": {"dataPoints": data}}
+    kind = {"aggregationTemporality": _CUMULATIVE, "isMonotonic": True, "dataPoints": data}
+    return {"name": name, "unit": unit, "sum": kind}
+
+
+def tenant_metrics(report: Mapping[str, Any], start: int, now: int) -> list[dict[str, Any]]:
+    """What `mountgauge tenants` shows, for a collector: the counts are the fleet's, bounded on both sides."""
+    by = [({"mountgauge.tenant": one["tenant"]}, one) for one in report["tenants"]]
+
+    def of(key: str) -> list[tuple[dict[str, str], Any]]:
+        return [(attributes, one[key]) for attributes, one in by if one[key] is not None]
+
+    members = [({"mountgauge.member": m["name"], "mountgauge.presence": m["presence"]}, float(m["age_s"]))
+               for m in report["members"]]  # fmt: skip
+    dropped = [({"mountgauge.reason": reason}, n)
+               for reason, n in report.get("gossip", {}).get("dropped", {}).items()]  # fmt: skip
+    states: list[tuple[dict[str, str], Any]] = [({}, int(report["split"]))]
+    return [
+        _points("mountgauge.tenant.used", "{message}", 0, now, of("used"), True),
+        _points("mountgauge.tenant.used.high", "{message}", 0, now, of("high"), False),
+        _points("mountgauge.tenant.rate", "{message}/s", start, now, of("rate"), False),
+        _points("mountgauge.tenant.quota", "{message}/s", start, now, of("quota"), False),
+        _points("mountgauge.tenant.refused", "{message}", start, now, of("refused_here"), True),
+        _points("mountgauge.fleet.word.age", "s", start, now, members, False),
+        _points("mountgauge.fleet.split", "1", start, now, states, False),
+        _points("mountgauge.fleet.dropped", "{datagram}", start, now, dropped, True),
+    ]
+
+
+def encode(
+    instance: str, snapshot: Snapshot, start: int, now: int, tenants: Mapping[str, Any] | None = None
+) -> bytes:
     """An ExportMetricsServiceRequest in its JSON form. Integers of 64 bits are text there."""
     ends = {status: n for (kind, status), n in snapshot.counts.items() if kind == "end"}
     attempts = {outcome: n for (kind, outcome), n in snapshot.counts.items() if kind == "attempt"}
@@ -74,6 +118,7 @@
         _gauge("mountgauge.messages.held", "{message}", now, snapshot.held),
         _gauge("mountgauge.slots.used", "{slot}", now, snapshot.slots_used),
         _gauge("mountgauge.slots.limit", "{slot}", now, snapshot.slots),
+        *(tenant_metrics(tenants, start, now) if tenants else ()),
     ]
     resource = [
         {"key": "service.name", "value": {"stringValue": "mountgauge"}},
@@ -99,10 +144,11 @@
         interval: float,
         instance: str,
         snapshot: Callable[[], Snapshot],
+        tenants: Callable[[], Mapping[str, Any]] = dict,
     ) -> None:
         self._client = Client(host, port)
         self._host, self._path, self._interval = f"{host}:{port}", path, interval
-        self._instance, self._snapshot = instance, snapshot
+        self._instance, self._snapshot, self._tenants = instance, snapshot, tenants
         self._start = time.time_ns()
         self._task: asyncio.Task[None] | None = None
         self.exported = self.failed = 0
@@ -121,7 +167,7 @@
             await self.export()
 
     async def export(self) -> bool:
-        body = encode(self._instance, self._snapshot(), self._start, time.time_ns())
+        body = encode(self._instance, self._snapshot(), self._start, time.time_ns(), self._tenants())
         try:
             answer = await self._client.exchange(
                 request("POST", self._path, self._host, {"Content-Type": "application/json"}, body), _LIMIT
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -9,9 +9,9 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
-from mountgauge.amqp.clients import Access, AmqpClients
+from mountgauge.amqp.clients import AmqpClients
 from mountgauge.amqp.next_hops import AmqpNextHops
 from mountgauge.clients import Clients
 from mountgauge.core.config import Address, Config, ConfigError
@@ -29,6 +29,9 @@
 from mountgauge.transport_map import TransportMap
 from rillspindle import Policy
 
+if TYPE_CHECKING:
+    from mountgauge.tenants.service import Tenants
+
 log = logging.getLogger("mountgauge.run")
 
 # The others carry this one's share until it is back, so it serves as long as it may: 3.7 s.
@@ -104,6 +107,7 @@
         self.listeners: list[tuple[Listener, Address]] = []
         self.status: StatusServer | None = None
         self.exporter: Exporter | None = None
+        self.tenants: Tenants | None = None
         self.map: Source
         if operator is None:
             self.next_hops = Router({"http": http}, {})
@@ -142,8 +146,9 @@
         if isinstance(self.notices, Notices) and operator.notices not in (None, old.notices):
             self.notices.move(operator.notices)
         for listener, _ in self.listeners:
+            if isinstance(listener, Clients | AmqpClients):
+                listener.access = operator.access
             if isinstance(listener, AmqpClients) and operator.amqp is not None:
-                listener.access = Access(operator.amqp.users)
                 listener.heartbeat, listener.exchange = operator.amqp.heartbeat, operator.amqp.exchange
         self.map.snapshot()
         both = operator.config, old.config
@@ -151,6 +156,10 @@
         needs += [n for n in ("state", "limits", "settings") if getattr(both[0], n) != getattr(both[1], n)]
         if getattr(operator.amqp, "listen", None) != getattr(old.amqp, "listen", None):
             needs.append("amqp.listen")
+        if self.tenants is not None and operator.tenants is not None:
+            needs += self.tenants.reload(operator.tenants)
+        elif (self.tenants is None) != (operator.tenants is None):
+            needs.append("tenant")
         self._told(needs)
 
     @staticmethod
@@ -177,27 +186,36 @@
         share = clients // ((operator.resp is not None) + (operator.amqp is not None))
         if operator.resp is not None:
             deadlines = [grade.deadline for grade in rules.grades]
-            resp = Clients(self.sender.submit, names.grades, share, deadlines=deadlines)
+            resp = Clients(
+                self.sender.submit, names.grades, share, deadlines=deadlines, access=operator.access
+            )
             self._listen(resp, operator.resp)
         if operator.amqp is not None:
-            access = Access(operator.amqp.users)
             front = AmqpClients(
                 self.sender.submit,
                 names.grades,
                 rules.grades,
                 min(share, _MOST_PUBLISHERS),
-                access,
+                operator.access,
                 operator.amqp.heartbeat,
                 operator.amqp.exchange,
             )
             fronts["amqp"] = front
             self._listen(front, operator.amqp.listen)
+        if operator.tenants is not None:
+            from mountgauge.tenants.service import Tenants  # with its libraries: only where it is asked for
+
+            self.sender.gate = self.tenants = Tenants(
+                operator.tenants, self.config.name, self.config.state
+            )
         if operator.status is not None:
-            self.status = StatusServer(self.report)
+            pages = {} if self.tenants is None else {"/tenants": self.tenants.report}
+            self.status = StatusServer(self.report, pages)
         if (otlp := operator.otlp) is not None:
             self.exporter = Exporter(
-                otlp.host, otlp.port, otlp.path, otlp.interval, self.config.name, self.snapshot
-            )
+                otlp.host, otlp.port, otlp.path, otlp.interval, self.config.name, self.snapshot,
+                self._tenant_metrics,
+            )  # fmt: skip
 
     def snapshot(self) -> Snapshot:
         sender = self.sender
@@ -207,16 +225,24 @@
                 counts.update(listener.counts)
         return Snapshot(counts, len(sender.held), sender.calls, sender.rules.workers)
 
+    def _tenant_metrics(self) -> dict[str, Any]:
+        return {} if self.tenants is None else self.tenants.metrics()
+
     def report(self) -> Mapping[str, Any]:
         now = self.snapshot()
-        return {
+        found = {
             "name": self.config.name, "held": now.held, "slots_used": now.slots_used, "slots": now.slots,
             "next_hops": len(self.sender.hops), "connections_opened": self.next_hops.opened,
             "ends": {status: n for (kind, status), n in now.counts.items() if kind == "end"},
             "attempts": {outcome: n for (kind, outcome), n in now.counts.items() if kind == "attempt"},
         }  # fmt: skip
+        if self.tenants is not None:
+            found["tenants"] = self.tenants.summary()
+        return found
 
     async def start(self) -> None:
+        if self.tenants is not None:
+            self.tenants.start()
         self.sender.start(self.config.known)
         for listener, address in self.listeners:
             await listener.listen(address.host, address.port)
@@ -243,6 +269,8 @@
             await asyncio.sleep(0.02)
         for listener, _ in self.listeners:
             listener.close()
+        if self.tenants is not None:
+            await self.tenants.leave()
         await asyncio.sleep(0.05)  # the last answers leave
         self.close()
 
@@ -254,6 +282,8 @@
         self.map.close()
         self.notices.close()
         self.next_hops.close()
+        if self.tenants is not None:
+            self.tenants.close()
         self.journal.close()
 
 
@@ -287,6 +317,8 @@
     ready = kv(name=config.name, listen=listens, hops=len(runtime.sender.hops), slots=rules.workers,
                max_open=rules.max_open, sockets=limits.sockets, memory=limits.memory_bytes)  # fmt: skip
     log.info("ready", extra=ready)
+    if operator is not None and operator.amqp is not None and not operator.access.users:
+        log.warning("amqp-open", extra=kv(why="no users: anyone may log in, to any virtual host"))
     stating = loop.create_task(_state_lines(runtime))
     await asked.wait()
     stating.cancel()
--- a/mountgauge/settings_table.py
+++ b/mountgauge/settings_table.py
@@ -1,4 +1,4 @@
-"""Tables of a settings file (TOML): typed access, and one plain line on anything unknown or of the wrong type."""
+"""Tables of a settings file (TOML): typed access, one plain line on what is unknown or of the wrong type."""
 
 from __future__ import annotations
 
--- a/mountgauge/status.py
+++ b/mountgauge/status.py
@@ -1,4 +1,4 @@
-"""State on loopback: `GET /status` answers with one JSON object."""
+"""State on loopback: `GET /status`, and what else is reported, each answered with one JSON object."""
 
 from __future__ import annotations
 
@@ -11,7 +11,10 @@
 from mountgauge.core.config import Address
 from mountgauge.http1 import Client, HttpError, Parser, request, response
 
+Report = Callable[[], Mapping[str, Any]]
+
 _MOST = 16  # connections at once
+_MOST_BODY = 64 << 20  # bytes of an answer
 _OPEN_FOR = 5.0  # s that one may last
 
 
@@ -44,8 +47,9 @@
             self._transport.close()
             return
         for one in asked[:1]:
-            if one.start is not None and one.start[:2] == ("GET", "/status"):
-                body = orjson.dumps(self._server.report())
+            page = self._server.pages.get(one.start[1]) if one.start is not None else None
+            if page is not None and one.start is not None and one.start[0] == "GET":
+                body = orjson.dumps(page())
                 headers = {"Content-Type": "application/json", "Connection": "close"}
                 self._transport.write(response(200, "OK", headers, body))
             else:
@@ -54,8 +58,11 @@
 
 
 class StatusServer:
-    def __init__(self, report: Callable[[], Mapping[str, Any]]) -> None:
-        self.report, self.open = report, 0
+    def __init__(
+        self, report: Callable[[], Mapping[str, Any]], pages: Mapping[str, Report] | None = None
+    ) -> None:
+        self.pages: dict[str, Report] = {"/status": report, **(pages or {})}
+        self.open = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -72,12 +79,12 @@
             self._server.close()
 
 
-async def ask(address: Address, limit: float = 2.0) -> dict[str, Any]:
+async def ask(address: Address, limit: float = 2.0, page: str = "/status") -> dict[str, Any]:
     """The state that an agent or an instance reports; OSError or ValueError where it does not."""
-    client = Client(address.host, address.port)
+    client = Client(address.host, address.port, _MOST_BODY)
     try:
         host = f"{address.host}:{address.port}"
-        answer = await client.exchange(request("GET", "/status", host, {}), limit)
+        answer = await client.exchange(request("GET", page, host, {}), limit)
     finally:
         client.close()
     if answer.status != 200:
--- /dev/null
+++ b/mountgauge/tenants/bounds.py
@@ -0,0 +1,50 @@
+"""The bounds that `docs/tenants.md` states, as functions. Times in seconds, rates in messages a second."""
+
+from __future__ import annotations
+
+import math
+
+from mountgauge.tenants.quota import PAY_BACK
+
+
+def rounds(members: int, fanout: int) -> int:
+    """Gossip rounds from one datagram to a given peer to the next: each peer in turn, `fanout` a round."""
+    return max(1, math.ceil((members - 1) / fanout))
+
+
+def word_age(
+    interval: float, loss: float, delay: float, members: int, fanout: int, flush: float, doubt: float = 1e-4
+) -> float:
+    """How old a member's word of another may be, but for a share `doubt` of all looks.
+
+    One count waits `flush` to be written down and up to a round to be sent; each try fails with probability
+    `loss`, so ln(doubt) / ln(loss) tries are needed, a turn of the peers apart; then the delay passes. Word
+    by way of others only makes it younger.
+    """
+    tries = 1 if loss <= 0 else max(1, math.ceil(math.log(doubt) / math.log(loss)))
+    return flush + tries * rounds(members, fanout) * interval + delay
+
+
+def count_error(rate: float, age: float) -> float:
+    """Messages that a tenant's count may lag behind, at this rate across the fleet."""
+    return rate * age
+
+
+def overshoot(quota: float, burst: float, members: int, age: float) -> float:
+    """Messages over `quota * time + burst` that a whole fleet may take, however long it goes on.
+
+    Until word of what was taken has gone round, the members may take as if it had not been: at the quota, and
+    with what the burst had left over. After that the counts say so, and it is paid back. Each member may
+    round one message up.
+    """
+    return members + (quota + burst / PAY_BACK) * age
+
+
+def overshoot_split(quota: float, burst: float, members: int, age: float, gone: float) -> float:
+    """The same for a split with `split = "share"`, which the sides notice at most `gone` apart."""
+    return overshoot(quota, burst, members, age) + quota * min(gone, age)
+
+
+def lost_on_kill(rate: float, flush: float) -> float:
+    """Messages of one member that nobody has counted when it is killed: those of one flush."""
+    return rate * flush
--- /dev/null
+++ b/mountgauge/tenants/settings.py
@@ -0,0 +1,141 @@
+"""`[fleet]` and `[[tenant]]` of an operator's file."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mountgauge.access import DEFAULT, User
+from mountgauge.core.config import Address, ConfigError
+from mountgauge.settings_table import Table
+from mountgauge.tenants.fleet import Plan
+from mountgauge.tenants.members import Timing
+from mountgauge.tenants.quota import Quota, Split
+from mountgauge.tenants.wire import MOST_NAME, tenant_key
+
+MOST_TENANTS = 20_000
+FLUSH = 0.1  # s between two times that new counts are written down
+_LEAST_KEY = 16  # characters
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    name: str
+    listen: Address
+    keys: tuple[str, ...]  # the first seals, all open
+    plan: Plan
+
+
+@dataclass(frozen=True, slots=True)
+class TenantSettings:
+    name: str
+    quota: Quota | None  # None: counted, never turned away
+    users: Mapping[str, User]
+
+
+@dataclass(frozen=True, slots=True)
+class TenantFile:
+    fleet: FleetSettings | None
+    tenants: tuple[TenantSettings, ...]
+
+    @property
+    def users(self) -> dict[str, User]:
+        return {name: user for tenant in self.tenants for name, user in tenant.users.items()}
+
+
+def read_tenants(top: Table) -> TenantFile | None:
+    """None where the file speaks of neither; ConfigError with one line on the first fault."""
+    fleet, tables = top.table("fleet"), top.tables("tenant")
+    if fleet is None and not tables:
+        return None
+    tenants = tuple(_tenant(table) for table in tables)
+    if len(tenants) > MOST_TENANTS:
+        raise ConfigError(f"tenant: {len(tenants)} are more than {MOST_TENANTS}")
+    keys: dict[int, str] = {tenant_key(DEFAULT): ""}
+    users: set[str] = set()
+    for place, tenant in enumerate(tenants):
+        same = keys.setdefault(tenant_key(tenant.name), tenant.name)
+        if same == tenant.name and any(tenant.name == other.name for other in tenants[:place]):
+            raise ConfigError(f"tenant[{place}].name: '{tenant.name}' stands twice")
+        if same and same != tenant.name:
+            raise ConfigError(f"tenant[{place}].name: '{tenant.name}' is '{same}' on the wire")
+        if twice := users & set(tenant.users):
+            raise ConfigError(f"tenant[{place}].users: '{min(twice)}' stands twice")
+        users |= set(tenant.users)
+    return TenantFile(_fleet(fleet) if fleet is not None else None, tenants)
+
+
+def _name(table: Table) -> str:
+    name: str = table.get("name", str)
+    if not name or len(name) > MOST_NAME or not all(33 <= ord(c) < 127 for c in name):
+        raise ConfigError(f"{table.name}.name: 1 to {MOST_NAME} printable characters without spaces")
+    return name
+
+
+def _tenant(table: Table) -> TenantSettings:
+    name = _name(table)
+    quota = None
+    if "rate" in table.raw:
+        rate = table.positive("rate")
+        burst = table.positive("burst", max(1.0, rate))
+        split = table.get("split", str, default="share")
+        if split not in list(Split):
+            raise ConfigError(f"{table.name}.split: not one of {', '.join(Split)}")
+        if burst < 1:
+            raise ConfigError(f"{table.name}.burst: must be 1 or more")
+        quota = Quota(rate, burst, Split(split))
+    else:
+        for key in ("burst", "split"):
+            if key in table.raw:
+                raise ConfigError(f"{table.name}.{key}: needs a rate")
+    users = table.get("users", dict, default={})
+    if not all(isinstance(word, str) and word for word in users.values()):
+        raise ConfigError(f"{table.name}.users: passwords are text, not empty")
+    table.done()
+    return TenantSettings(name, quota, {user: User(word, name) for user, word in users.items()})
+
+
+def _fleet(table: Table) -> FleetSettings:
+    name = _name(table)
+    listen = table.address("listen")
+    if listen is None:
+        raise ConfigError("fleet.listen: missing")
+    keys = table.get("keys", list)
+    if not 1 <= len(keys) <= 2 or not all(isinstance(key, str) and len(key) >= _LEAST_KEY for key in keys):
+        raise ConfigError(f"fleet.keys: one or two texts of {_LEAST_KEY} characters or more")
+    peers = []
+    for place, text in enumerate(table.get("peers", list, default=[])):
+        where = f"fleet.peers[{place}]"
+        peer = Address.parse(text, where)
+        _literal(peer, where)
+        if not peer.port:
+            raise ConfigError(f"{where}: port 0")
+        peers.append((peer.host, peer.port))
+    _literal(listen, "fleet.listen")
+    if len(set(peers)) < len(peers):
+        raise ConfigError("fleet.peers: an address stands twice")
+    interval = table.positive("interval", 0.25)
+    if not 0.05 <= interval <= 60:
+        raise ConfigError("fleet.interval: 0.05 to 60 s")
+    fanout = table.get("fanout", int, default=4)
+    if not 1 <= fanout <= 32:
+        raise ConfigError("fleet.fanout: 1 to 32")
+    suspect = table.positive("suspect", 10 * interval)
+    gone = table.positive("gone", 20 * interval)
+    forget = table.positive("forget", 86_400)
+    linger = table.positive("linger", 60)
+    if not 2 * interval <= suspect < gone < forget:
+        raise ConfigError("fleet: 2 * interval <= suspect < gone < forget is needed")
+    table.done()
+    return FleetSettings(
+        name, listen, tuple(keys),
+        Plan(tuple(peers), interval, fanout, Timing(suspect, gone, forget, linger), FLUSH),
+    )  # fmt: skip
+
+
+def _literal(address: Address, where: str) -> None:
+    try:
+        ipaddress.ip_address(address.host)
+    except ValueError:
+        raise ConfigError(f"{where}: not an IP address: {address.host!r}") from None
--- /dev/null
+++ b/tests/tenants/test_counts.py
@@ -0,0 +1,164 @@
+"""The replicated counts: the laws of joining, and that no increment is lost or counted twice."""
+
+from __future__ import annotations
+
+from itertools import permutations
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mountgauge.tenants.counts import _RECENT, Counts, Mark, size
+
+KEYS = [11, 22, 33]
+settings.register_profile("fleet", derandomize=True, deadline=None, max_examples=150)
+settings.load_profile("fleet")
+
+
+def counts(mine: int = 1) -> Counts:
+    return Counts(KEYS, 8, mine, f"m{mine}")
+
+
+def seen(replica: Counts) -> dict[tuple[int, int], int]:
+    """What a replica's state is: how much it knows of each life and tenant."""
+    return {
+        (life.id, replica.keys[place]): n
+        for life in replica.lives.values() for place, n in enumerate(life.count) if n
+    }  # fmt: skip
+
+
+def deltas(owner: Counts, cuts: list[tuple[int, int]]) -> list[tuple[Any, ...]]:
+    """Deltas of the owner's life from any version on, cut off after so many bytes."""
+    found = []
+    for after, room in cuts:
+        upto, entries = owner.delta(owner.mine, after, room)
+        found.append((owner.mine.id, owner.mine.name, after, upto, entries))
+    return found
+
+
+steps = st.lists(st.tuples(st.integers(0, 2), st.integers(0, 300), st.integers(0, 50)), max_size=12)
+cuts = st.lists(st.tuples(st.integers(0, 12), st.integers(0, 60)), min_size=1, max_size=5)
+
+
+@given(steps, cuts, st.randoms())
+def test_joining_is_commutative_associative_and_idempotent(
+    grown: list[tuple[int, int, int]], where: list[tuple[int, int]], random: Any
+) -> None:
+    owners = [counts(1), counts(2)]
+    told: list[tuple[Any, ...]] = []
+    for number, step in enumerate(grown):
+        owners[number % 2].add(*step)
+        told += deltas(owners[number % 2], where[: 1 + number % 2])
+    results = []
+    for _ in range(3):
+        order = told * 2  # each comes twice
+        random.shuffle(order)
+        replica = counts(9)
+        for one in order:
+            replica.join(*one)
+        results.append((seen(replica), list(replica.total), {i: x.check for i, x in replica.lives.items()}))
+        assert replica.total == [sum(x.count[p] for x in replica.lives.values()) for p in range(len(KEYS))]
+    assert results[0] == results[1] == results[2]
+    # (a + b) + c = a + (b + c): two replicas that each heard a half make what one makes that heard all.
+    halves = [counts(9), counts(9)]
+    for number, one in enumerate(told):
+        halves[number % 2].join(*one)
+    for life in list(halves[1].lives.values()):
+        upto, entries = halves[1].delta(life, 0, 1 << 30)
+        halves[0].join(life.id, life.name, 0, upto, entries)
+    assert (seen(halves[0]), list(halves[0].total)) == results[0][:2]
+
+
+@given(steps, st.lists(st.tuples(st.integers(20, 60), st.booleans()), max_size=30))
+def test_whatever_is_cut_or_lost_the_replica_never_has_more_and_in_the_end_all(
+    grown: list[tuple[int, int, int]], sendings: list[tuple[int, bool]]
+) -> None:
+    owner, replica = counts(1), counts(9)
+    rest = list(grown)
+    for room, arrives in sendings:
+        if rest:
+            owner.add(*rest.pop(0))
+        life = replica.lives.get(1)
+        after = life.version if life is not None else 0
+        (one,) = deltas(owner, [(after, room)])
+        if arrives:
+            replica.join(*one)
+        for key, n in seen(replica).items():
+            assert n <= seen(owner)[key]
+        if one[3] == owner.mine.version and arrives:
+            assert replica.lives[1].mark == owner.mine.mark and seen(replica) == seen(owner)
+    for step in rest:
+        owner.add(*step)
+    for _ in range(40):
+        life = replica.lives.get(1)
+        replica.join(*deltas(owner, [(life.version if life else 0, 40)])[0])
+    assert seen(replica) == seen(owner) and replica.total == owner.total
+
+
+def test_the_checksum_finds_what_a_dead_owner_left_in_pieces() -> None:
+    """Replicas may stand at one version with different counts, if the owner died: marks tell them apart."""
+    owner, early, late = counts(1), counts(8), counts(9)
+    owner.add(0, 3, 0)
+    early.join(*deltas(owner, [(0, 99)])[0])
+    owner.add(1, 4, 0)
+    first = deltas(owner, [(1, 99)])[0]
+    owner.add(0, 5, 0)
+    late.join(owner.mine.id, "m1", 0, 2, deltas(owner, [(0, 99)])[0][4][:1])  # its tail was cut off
+    early.join(*first)
+    assert early.lives[1].version == late.lives[1].version == 2
+    assert early.lives[1].mark != late.lives[1].mark
+    upto, entries = early.delta(early.lives[1], 0, 999)
+    late.join(1, "m1", 0, upto, entries)
+    assert early.lives[1].mark == late.lives[1].mark and early.total == late.total
+
+
+def test_changes_far_back_are_found_though_only_the_newest_are_at_hand() -> None:
+    owner = Counts(range(100, 100 + 3 * _RECENT), 4 * _RECENT, 1, "m1")
+    for place in range(3 * _RECENT):
+        owner.add(place, 1, 0)
+    for after in (0, 1, _RECENT, 2 * _RECENT - 1, 3 * _RECENT - 2, 3 * _RECENT):
+        assert owner.mine.since(after) == list(range(after, 3 * _RECENT))
+
+
+def test_folding_keeps_the_counts_in_any_order_and_a_newcomer_takes_it_over() -> None:
+    whole = []
+    for order in permutations((1, 2, 3)):
+        replica = counts(9)
+        for owner in (counts(1), counts(2), counts(3)):
+            for n in range(4):
+                owner.add(n % 3, owner.mine.id * 10 + n, 0)
+            replica.join(*deltas(owner, [(0, 999)])[0])
+        total, marks = list(replica.total), {i: life.mark for i, life in replica.lives.items()}
+        for life in order:
+            replica.fold(life)
+        assert replica.total == total and set(replica.lives) == {9}
+        assert dict(replica.folded) == {i: marks[i] for i in order}
+        whole.append((replica.past_id, replica.past_lives, replica.past))
+        newcomer = counts(10)
+        newcomer.join(*deltas(counts(1), [(0, 999)])[0])  # knows of one of them, in part
+        sums = dict(zip(replica.keys, replica.past, strict=True))
+        assert newcomer.adopt(sums, list(replica.folded.items()), replica.past_lives, replica.past_id)
+        assert newcomer.total == total and newcomer.life(1) is None  # it cannot come in a second time
+        other = counts(11)
+        other.life(77, "x")
+        other.fold(77)  # a life that the first has not folded: neither contains the other
+        assert not other.adopt(sums, list(replica.folded.items()), replica.past_lives, replica.past_id)
+    assert all(one == whole[0] for one in whole)
+
+
+def test_tenants_and_lives_are_bounded() -> None:
+    replica = counts()
+    for key in range(1000, 2000):
+        replica.tenant(key)
+    assert len(replica.keys) == 8 and replica.overfull == 995
+    for life in range(100, 2000):
+        replica.life(life, "x")
+    assert len(replica.lives) == 512
+    replica.join(100, "x", 0, 1, [])
+    assert Mark(1, 0) == replica.lives[100].mark
+
+
+@given(st.integers(0, (1 << 63) - 1))
+def test_sizes_are_those_of_messagepack(number: int) -> None:
+    assert size(number) == len(msgspec.msgpack.encode(number))
--- /dev/null
+++ b/tests/tenants/test_wire.py
@@ -0,0 +1,155 @@
+"""Datagrams: forged, replayed, cut short, oversized, under old keys; each dropped, counted and cheap."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from blake3 import blake3
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.fleet_model import World
+from mountgauge.tenants.counts import Counts
+from mountgauge.tenants.fleet import Fleet, Identity, Plan
+from mountgauge.tenants.members import Timing
+from mountgauge.tenants.wire import MOST, Datagram, Refused, Seal, Window
+
+settings.register_profile("fleet", derandomize=True, deadline=None, max_examples=150)
+settings.load_profile("fleet")
+OLD, NEW = "the key of last year", "the key of this year"
+PEER = ("127.0.0.1", 2)
+
+
+def member(seal: Seal, life: int = 1, peers: tuple[tuple[str, int], ...] = (PEER,)) -> Fleet:
+    plan = Plan(peers, 0.25, 4, Timing(2.5, 5, 100, 5), 0.1)
+    name = f"m{life}"
+    counts = Counts([5, 6], 8, life, name)
+    return Fleet(Identity(name, life, 1, life * 7), plan, counts, seal, 0.0, random.Random(1))
+
+
+def one(seal: Seal, **more: Any) -> bytes:
+    fields: dict[str, Any] = {"name": "m2", "life": 2, "boot": 1, "run": 14, "seq": 1, "beat": 1, **more}
+    return seal.close(Datagram(**fields))
+
+
+def test_what_is_refused_is_counted_and_changes_nothing() -> None:
+    seal, other = Seal("f", [NEW]), Seal("f", [OLD])
+    fleet = member(seal)
+    good = one(seal)
+    forged = good[:-1] + bytes([good[-1] ^ 1])
+    empty = seal.close(Datagram(name="m2", life=2, boot=1, run=14, seq=1, beat=1))[:4]
+    head = good[:4] + b"\xc1" * 20
+    sealed_rubbish = head + blake3(head, key=seal._keys[good[2:4]]).digest(16)
+    for data, reason in (
+        (forged, "forged"), (good[:-20], "forged"), (good[:8], "malformed"), (b"", "malformed"),
+        (empty, "malformed"), (sealed_rubbish, "malformed"), (one(other), "unknown-key"),
+        (one(Seal("another fleet", [NEW])), "unknown-key"), (good + b"\0" * MOST, "oversized"),
+        (one(seal, life=1, run=7), "own"),
+    ):  # fmt: skip
+        before = fleet.dropped[reason]
+        assert fleet.receive(data, PEER, 1.0) == []
+        assert fleet.dropped[reason] == before + 1, reason
+    assert set(fleet.counts.lives) == {1} and len(fleet.members.all) == 1 and not fleet.contacts
+    fleet.receive(good, PEER, 1.0)
+    assert len(fleet.members.all) == 2
+    fleet.receive(good, PEER, 1.1)
+    assert fleet.dropped["replayed"] == 1
+    fleet.receive(one(seal, boot=2, run=15), PEER, 1.2)  # started again
+    fleet.receive(one(seal, seq=9), PEER, 1.3)
+    assert fleet.dropped["old-run"] == 1
+
+
+def test_keys_are_rotated_without_a_gap() -> None:
+    """First all take both, then all seal with the new one, then the old one goes: nothing is ever dropped."""
+    world = World({"a": None}, 3)
+    world.seal = Seal("virtual", [OLD])
+    world.add("x", "y", "z")
+    world.load({"a": 20}, 20)
+    for keys in ([OLD, NEW], [NEW, OLD], [NEW]):
+        for node in world.up:
+            node.fleet.seal = Seal("virtual", keys)
+            world.until(world.time + 1)
+    world.until(21)
+    assert world.until_exact(3) < 3
+    assert all(not n.fleet.dropped["unknown-key"] and not n.fleet.dropped["forged"] for n in world.up)
+    world.up[0].fleet.seal = Seal("virtual", [OLD])
+    world.until(world.time + 2)
+    assert world.up[1].fleet.dropped["unknown-key"] > 3
+
+
+@given(st.lists(st.integers(0, 3000), max_size=80))
+def test_a_window_takes_each_number_once_and_none_too_old(numbers: list[int]) -> None:
+    window, taken, newest = Window(1), set[int](), -1
+    for number in numbers:
+        accepted = window.accept(number)
+        assert accepted == (number not in taken and (number > newest or newest - number < 512))
+        if accepted:
+            taken.add(number)
+            newest = max(newest, number)
+
+
+small = st.integers(0, (1 << 63) - 1)
+leaf = st.one_of(small, st.text(max_size=8), st.booleans(), st.none())
+fuzz = st.recursive(leaf, lambda c: st.lists(c, max_size=8))
+
+
+@given(st.lists(fuzz, max_size=18))
+def test_a_sealed_body_of_any_shape_does_no_harm(body: list[Any]) -> None:
+    """As a member of another version might send, or one gone mad: what is not a datagram is refused."""
+    seal = Seal("f", [NEW])
+    fleet = member(seal)
+    head = b"M1" + seal._first + msgspec.msgpack.encode(body)
+    fleet.receive(head + blake3(head, key=seal._keys[seal._first]).digest(16), PEER, 1.0)
+    fleet.tick(2.0)
+
+
+words = st.lists(st.tuples(small, st.just("w"), small, small, st.booleans(), small, small), max_size=6)
+lines = st.lists(st.tuples(st.sampled_from([5, 6, 77]), *[small] * 3), max_size=5)
+datagrams = st.fixed_dictionaries({
+    "life": st.sampled_from([1, 2, 3]), "boot": st.integers(0, 3), "run": st.integers(1, 9), "beat": small,
+    "left": st.booleans(), "echo_run": st.sampled_from([0, 7]), "echo_seq": small, "echo_ms": small,
+    "past": small, "past_lives": small, "want": st.none() | st.tuples(small, small), "words": words,
+    "deltas": st.lists(st.tuples(st.integers(1, 4), st.just("d"), small, small, lines), max_size=3),
+    "tombs": st.lists(st.tuples(st.integers(1, 4), small, small), max_size=3),
+    "page": st.none() | st.tuples(small, small, st.integers(0, 3), st.integers(0, 3),
+                                  st.lists(st.tuples(small, small), max_size=3), st.just([])),
+})  # fmt: skip
+
+
+@given(st.lists(datagrams, max_size=6))
+def test_members_that_lie_cannot_break_one_or_make_it_send_too_much(told: list[dict[str, Any]]) -> None:
+    seal = Seal("f", [NEW])
+    fleet = member(seal)
+    for seq, fields in enumerate(told):
+        data = msgspec.msgpack.encode(msgspec.convert(
+            {"name": "x", "seq": seq, **fields}, type=dict[str, Any]))  # fmt: skip
+        ordered = [msgspec.msgpack.decode(data).get(f, d) for f, d in _FIELDS]
+        head = b"M1" + seal._first + msgspec.msgpack.encode(ordered)
+        out = fleet.receive(head + blake3(head, key=seal._keys[seal._first]).digest(16), PEER, 1.0 + seq)
+        assert len(out) <= 10 and all(len(one) <= MOST for one, _ in out)
+        if fleet.reborn:
+            fleet.renew(100 + seq, 200 + seq, 1.0 + seq)
+        for data, _ in fleet.tick(1.5 + seq):
+            assert len(data) <= MOST
+    assert len(fleet.counts.keys) <= 8
+
+
+_FIELDS = [
+    (name, default if default is not msgspec.NODEFAULT else (field.default_factory() if field.default_factory
+     is not msgspec.NODEFAULT else 0))
+    for field in msgspec.structs.fields(Datagram) for name, default in [(field.name, field.default)]
+]  # fmt: skip
+
+
+def test_an_open_datagram_is_what_was_closed() -> None:
+    seal = Seal("f", [NEW, OLD])
+    told = Datagram(name="m2", life=2, boot=1, run=14, seq=1, beat=1, want=(3, 4), tombs=[(1, 2, 3)])
+    assert seal.open(seal.close(told)) == told
+    assert Seal("f", [OLD, NEW]).open(seal.close(told)) == told
+    try:
+        Seal("f", [OLD]).open(seal.close(told))
+        raise AssertionError("opened without its key")
+    except Refused as refused:
+        assert str(refused) == "unknown-key"
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -14,8 +14,8 @@
 import pytest
 
 from mountgauge import cli
+from mountgauge.access import DEFAULT, Access, User
 from mountgauge.amqp import codec
-from mountgauge.amqp.clients import Access
 from mountgauge.amqp.next_hops import AmqpNextHops
 from mountgauge.core.config import Address, Config, ConfigError
 from mountgauge.core.ports import Call, Item, NextHop, Result
@@ -151,10 +151,11 @@
 
 
 def test_access() -> None:
-    access = Access({"u": "p"})
-    assert access.allows("PLAIN", b"\0u\0p")
+    access = Access({"u": User("p", "rossi"), "v": User("q")}, "/vans")
+    assert access.login("PLAIN", b"\0u\0p") == "rossi" and access.login("PLAIN", b"\0v\0q") == DEFAULT
+    assert access.opens("/vans") and not access.opens("/") and Access().opens("any")
     for mechanism, told in (("PLAIN", b"\0u\0q"), ("PLAIN", b"\0v\0p"), ("PLAIN", b""), ("ANONYMOUS", b"")):
-        assert not access.allows(mechanism, told)
+        assert access.login(mechanism, told) is None
 
 
 # Configuration
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -142,7 +142,7 @@
             world.file.write_text("name = ")
             world.runtime.reload()
             assert world.runtime.operator is not None and world.runtime.operator.amqp is not None
-            assert not world.runtime.operator.amqp.users
+            assert not world.runtime.operator.access.users
             world.file.write_text(text.replace("[rules]", 'users = { "u" = "other" }\n[rules]'))
             world.runtime.reload()
             late = type(world.client)(world)
