--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -156,6 +156,7 @@
     ) -> None:  # fmt: skip
         self.quotas, self.weather, self.spare = dict(quotas), weather or Weather(), spare
         self.rng = random.Random(seed)
+        self.clients = random.Random(seed + 1)
         self.interval, self.fanout = interval, fanout
         self.timing = timing or Timing(10 * interval, 20 * interval, 86_400, 5.0)
         self.seal = Seal("virtual", [KEY])
@@ -211,14 +212,14 @@
             self._next(tenant, rate, until, names)
 
     def _next(self, tenant: str, rate: float, until: float, names: Sequence[str] | None) -> None:
-        when = self.time + self.rng.expovariate(rate)
+        when = self.time + self.clients.expovariate(rate)
         if when > until:
             return
 
         def hand_in() -> None:
             up = [n for n in (names or self.nodes) if self.nodes[n].up]
             if up:
-                self.nodes[self.rng.choice(up)].offer(tenant)
+                self.nodes[self.clients.choice(up)].offer(tenant)
             self._next(tenant, rate, until, names)
 
         self.at(when, hand_in)
--- a/mountgauge/tenants/bounds.py
+++ b/mountgauge/tenants/bounds.py
@@ -4,7 +4,7 @@
 
 import math
 
-from mountgauge.tenants.quota import PAY_BACK
+from mountgauge.tenants.quota import MAKE_UP
 
 
 def rounds(members: int, fanout: int) -> int:
@@ -37,7 +37,7 @@
     with what the burst had left over. After that the counts say so, and it is paid back. Each member may
     round one message up.
     """
-    return members + (quota + burst / PAY_BACK) * age
+    return members + (quota + burst / MAKE_UP) * age
 
 
 def overshoot_split(quota: float, burst: float, members: int, age: float, gone: float) -> float:
--- a/mountgauge/tenants/counts.py
+++ b/mountgauge/tenants/counts.py
@@ -26,6 +26,7 @@
 MOST_LIVES = 512
 MOST_FOLDED = 8192
 _RECENT = 2048  # changes of a life that are found without a look at all its tenants
+_AHEAD = 64  # parts of a life that may lie behind gaps
 _MASK = (1 << 63) - 1
 
 
@@ -49,7 +50,8 @@
     """One member's counts, as far as this replica knows them."""
 
     __slots__ = (
-        "check", "count", "demand", "floor", "id", "name", "recent", "settled", "version", "versions",
+        "ahead", "check", "count", "demand", "floor", "id", "learned", "name", "recent", "settled", "version",
+        "versions",
     )  # fmt: skip
 
     def __init__(self, id: int, name: str, room: int) -> None:
@@ -59,6 +61,8 @@
         self.demand = array("l", bytes(array("l").itemsize * room))
         self.recent: deque[tuple[int, int]] = deque(maxlen=_RECENT)  # (version, place), rising
         self.floor = 0  # all changes above this version are in `recent`
+        self.ahead: list[tuple[int, int]] = []  # ranges of versions that are here, behind a gap
+        self.learned: deque[tuple[float, int]] = deque(maxlen=64)  # when it came up to which version
         self.settled = False  # whether what is new of it happened just now, rather than being told late
 
     @property
@@ -75,13 +79,14 @@
 
     def changed(self, place: int, version: int) -> None:
         self.versions[place] = version
-        if version > self.version:
+        newest = self.recent[-1][0] if self.recent else self.floor
+        if version > newest:
             if len(self.recent) == _RECENT:
                 self.floor = self.recent[0][0]
             self.recent.append((version, place))
-        else:  # told late: looked for among all from now on
+        else:  # out of order: looked for among all from now on
             self.recent.clear()
-            self.floor = self.version
+            self.floor = newest
 
     def since(self, version: int) -> list[int]:
         """Places of what changed after this version, in the order of the changes."""
@@ -192,20 +197,31 @@
             if version > life.versions[place]:
                 life.demand[place] = demand
                 life.changed(place, version)
-        if after <= life.version < upto:
-            life.version = upto
+        if upto > life.version:
+            # What comes behind a gap counts once the gap is closed.
+            life.ahead.append((after, upto))
+            life.ahead.sort()
+            while life.ahead and life.ahead[0][0] <= life.version:
+                life.version = max(life.version, life.ahead.pop(0)[1])
+            del life.ahead[_AHEAD:]
         return new
 
-    def delta(self, life: Life, after: int, room: int) -> tuple[int, list[Entry]]:
-        """What changed in a life after this version, as much as fits into so many bytes, and up to where."""
+    def delta(
+        self, life: Life, after: int, room: int, last: int | None = None
+    ) -> tuple[int, list[Entry]]:
+        """What changed in a life after this version, as much as fits into so many bytes, and up to where.
+
+        `last`: not beyond this version.
+        """
         found: list[Entry] = []
-        upto = life.version
+        upto = life.version if last is None else min(last, life.version)
         for place in life.since(after):
+            if life.versions[place] > upto:
+                break
             entry = Entry(self.keys[place], life.count[place], life.versions[place], life.demand[place])
-            room -= 1 + sum(map(size, entry))
+            room -= line_size(entry)
             if room < 0:
-                # What came behind a gap lies above the version up to which all is here.
-                upto = min(upto, found[-1].version) if found else after
+                upto = found[-1].version if found else after
                 break
             found.append(entry)
         return upto, found
@@ -277,6 +293,12 @@
         return {life.id: life.count[place] for life in self.lives.values() if of(life)}
 
 
+def line_size(entry: Entry) -> int:
+    """Bytes of one line in MessagePack, at most: quicker than by the number."""
+    _, taken, version, demand = entry
+    return 11 + (3 if taken < 65536 else 9) + (3 if version < 65536 else 9) + (3 if demand < 65536 else 9)
+
+
 def size(number: int) -> int:
     """Bytes of a whole number in MessagePack, from 0 on (specification, 2013, 'int format family')."""
     return 1 if number < 128 else 2 if number < 256 else 3 if number < 65536 else 5 if number < 1 << 32 else 9
--- a/mountgauge/tenants/fleet.py
+++ b/mountgauge/tenants/fleet.py
@@ -18,7 +18,7 @@
 from typing import NamedTuple
 
 from mountgauge.tenants.bounds import rounds
-from mountgauge.tenants.counts import Counts, Entry, Mark, size
+from mountgauge.tenants.counts import Counts, Entry, Life, Mark, line_size, size
 from mountgauge.tenants.members import Member, Members, Presence, Timing
 from mountgauge.tenants.wire import MOST, Datagram, Delta, Line, Page, Refused, Seal, Window, Word
 
@@ -26,6 +26,9 @@
 Out = list[tuple[bytes, Place]]
 
 _WORDS = 420  # bytes of a datagram for words, where deltas want the rest
+_FEW_WORDS = 120  # bytes for words beside deltas: of the sender and the receiver
+_FLIGHT = 32  # parts of one life that may be under way to one contact
+_PUSHED = 3  # datagrams with own counts that one round may send to one address
 _REPLIES = 3  # datagrams with deltas in answer to one
 _EACH_ROUND = 64  # datagrams that one interval may send in all
 _ASKED = 1024  # datagrams of which it is remembered where they went
@@ -35,6 +38,7 @@
 _ALONE_AFTER = 3.0  # s without any word after which they are too
 _CATCH_UP = 3.0  # s that another's past may be ahead before it is asked for
 _FOLD_EVERY = 1.0  # s
+_DIVERGED = 60.0  # s for which two present members' pasts may differ; then something is wrong
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,17 +59,28 @@
     run: int
 
 
+class Part(NamedTuple):
+    """Changes of a life after one version, up to another; and when they were sent."""
+
+    after: int
+    upto: int
+    at: float
+
+
 @dataclass(slots=True, eq=False)
 class Contact:
     """What a member knows of its exchange with another."""
 
+    life: int = 0
     windows: list[Window] = field(default_factory=list)
     source: Place | None = None  # where its datagrams come from
     listed: Place | None = None  # the file's address behind which it was found
     rtt: float = 0.0  # s, smoothed; 0 before the first echo
     newest: tuple[int, int, float] = (0, 0, 0.0)  # its run, its seq, when
     marks: dict[int, Mark] = field(default_factory=dict)  # how far it has come with each life
-    sent: dict[int, tuple[int, float]] = field(default_factory=dict)  # up to where, and when
+    flight: dict[int, list[Part]] = field(default_factory=dict)  # parts of lives that are under way
+    mending: dict[int, tuple[int, float]] = field(default_factory=dict)  # up to where, and when
+    odd: dict[int, tuple[Mark, float]] = field(default_factory=dict)  # at one version, but not the same
     tombs: set[int] = field(default_factory=set)  # folded lives that it still speaks of
     past: tuple[int, int] = (0, 0)
     past_since: float = 0.0  # since when its past is ahead of one's own
@@ -126,6 +141,10 @@
         if now - self._folded_at >= _FOLD_EVERY:
             self._folded_at = now
             self._fold(now)
+        self.diverged = any(
+            contact.past[0] != self.counts.past_id and now - contact.past_since >= _DIVERGED
+            for member in self.members.present if (contact := self.contacts.get(member.id)) is not None
+        )  # fmt: skip
         self._left_over = _EACH_ROUND
         out: Out = []
         for place in self._targets(len(self.plan.peers) if self.leaving else self.plan.fanout):
@@ -159,7 +178,7 @@
         contact = self.contacts[member]
         life, mark = self.counts.mine, contact.marks.get(self.me.life, Mark(0, 0))
         lacking = [life.id] if mark.version < life.version else []
-        return self._deltas(contact, place, lacking, now) or [self._datagram(contact, place, now)]
+        return self._deltas(contact, place, lacking, now, _PUSHED) or [self._datagram(contact, place, now)]
 
     @property
     def settle(self) -> float:
@@ -194,7 +213,7 @@
                 contact.tombs.discard(life)
                 if (mark := self.counts.folded.get(life)) is not None:
                     tombs.append((life, *mark))
-        words = [] if page is not None else self._words(room)
+        words = [] if page is not None else self._words(room, contact)
         while True:
             data = self.seal.close(Datagram(
                 name=self.me.name, life=self.me.life, boot=self.me.boot, run=self.me.run, seq=self._seq,
@@ -210,10 +229,12 @@
         self.sent_bytes += len(data)
         return data, place
 
-    def _words(self, room: int) -> list[Word]:
-        """The sender's own word first, then as many others as there is room for, drawn."""
+    def _words(self, room: int, contact: Contact | None) -> list[Word]:
+        """The sender's own word, what it has of the receiver, then as many others as fit, drawn."""
+        there = contact.life if contact is not None else 0
         others = [m for m in self.members.all.values() if m is not self.members.me]
         self.rng.shuffle(others)
+        others.sort(key=lambda m: m.id != there)
         found: list[Word] = []
         for member in (self.members.me, *others):
             life = self.counts.lives.get(member.id)
@@ -231,45 +252,69 @@
         return found
 
     def _deltas(self, contact: Contact, place: Place, lives: list[int], now: float, most: int = 1) -> Out:
-        """What it lacks of these lives, as far as it was not sent a moment ago."""
+        """What it lacks of these lives, as far as it is not on its way already."""
         out: Out = []
-        again = min(3 * self.plan.interval, max(self.plan.interval, 1.2 * contact.rtt))
         deltas: list[Delta] = []
-        left = room = MOST - _WORDS - 240
-        while lives and len(out) < most and self._left_over > 0:
-            life = self.counts.lives.get(lives[0])
-            if life is None:
-                lives = lives[1:]
-                continue
-            mark = contact.marks.get(life.id, Mark(0, 0))
-            upto, at = contact.sent.get(life.id, (0, -1e9))
-            after = mark.version
-            if mark.version >= life.version:  # something in between is missing: all of it, part by part
-                after = upto if upto < life.version else 0
-                if not after and now - at < again:
-                    lives = lives[1:]
-                    continue
-            elif now - at < again and upto > after:
-                after = upto
-            if after >= life.version:
-                lives = lives[1:]
+        left = room = MOST - _FEW_WORDS - 240
+        queue = [life for one in lives if (life := self.counts.lives.get(one)) is not None]
+        while queue and len(out) < most and self._left_over > 0:
+            life = queue[0]
+            part = self._part(contact, life, now)
+            if part is None:
+                queue.pop(0)
                 continue
             left -= 24 + len(life.name.encode())
-            upto, entries = self.counts.delta(life, after, left)
-            if entries or (upto > after and left > 0):
+            upto, entries = self.counts.delta(life, part.after, max(0, left), part.upto)
+            if upto > part.after:
                 lines: list[Line] = [(e.key, e.taken, e.version, e.demand) for e in entries]
-                deltas.append(Delta(life.id, life.name or "?", after, upto, lines))
-                contact.sent[life.id] = (upto, now)
-                left -= sum(1 + sum(map(size, e)) for e in entries)
-            if upto >= life.version:
-                lives = lives[1:]
-            else:
-                out.append(self._datagram(contact, place, now, deltas))
+                deltas.append(Delta(life.id, life.name or "?", part.after, upto, lines))
+                left -= sum(map(line_size, entries))
+                self._under_way(contact, life, part, upto, now)
+            elif life.id in contact.flight:  # no room left in this datagram
+                contact.flight[life.id].append(Part(part.after, part.upto, -1e9))
+            if upto < part.upto:  # the datagram is full
+                out.append(self._datagram(contact, place, now, deltas, room=_FEW_WORDS))
                 deltas, left = [], room
         if deltas and len(out) < most:
-            out.append(self._datagram(contact, place, now, deltas))
+            out.append(self._datagram(contact, place, now, deltas, room=_FEW_WORDS))
         return out
 
+    def _part(self, contact: Contact, life: Life, now: float) -> Part | None:
+        """What of this life is to be sent to the contact next: what was lost on the way, or what is new."""
+        mark = contact.marks.get(life.id, Mark(0, 0))
+        again = max(2 * self.plan.interval, 0.6 * contact.rtt)
+        flight = contact.flight.get(life.id, [])
+        if mark.version >= life.version:
+            if mark.check == life.check or mark.version > life.version:
+                contact.flight.pop(life.id, None)
+                return None
+            # Something in between is missing, it is not known where: all of it, part by part.
+            upto, at = contact.mending.get(life.id, (0, -1e9))
+            if now - contact.odd.get(life.id, (mark, now))[1] < 2 * self.settle:
+                return None  # most often it is only on its way
+            if upto >= life.version and now - at < again:
+                return None
+            return Part(upto if upto < life.version else 0, life.version, now)
+        contact.mending.pop(life.id, None)
+        flight = contact.flight[life.id] = [part for part in flight if part.upto > mark.version]
+        for number, part in enumerate(flight):
+            if now - part.at >= again:
+                del flight[number]
+                return Part(max(part.after, mark.version), part.upto, now)
+        start = max((part.upto for part in flight), default=mark.version)
+        upto = self._to_relay(life, now)
+        return Part(start, upto, now) if start < upto and len(flight) < _FLIGHT else None
+
+    def _under_way(self, contact: Contact, life: Life, part: Part, upto: int, now: float) -> None:
+        mark = contact.marks.get(life.id, Mark(0, 0))
+        if mark.version >= life.version:
+            contact.mending[life.id] = (upto, now)
+            return
+        flight = contact.flight[life.id]
+        flight.append(Part(part.after, upto, now))
+        if upto < part.upto and part.upto <= max(one.upto for one in flight):  # the rest of what was lost
+            flight.append(Part(upto, part.upto, -1e9))
+
     # In
 
     def receive(self, data: bytes, source: Place, now: float) -> Out:
@@ -287,18 +332,23 @@
             self._first_word = now
         contact.newest = (told.run, told.seq, now)
         self._echo(contact, told, now)
-        if (told.past, told.past_lives) != contact.past or not self._behind(contact):
+        if (told.past, told.past_lives) != contact.past or told.past == self.counts.past_id:
             contact.past, contact.past_since = (told.past, told.past_lives), now
         for delta in told.deltas:
             if delta.life == self.me.life and delta.upto > self.counts.mine.version:
                 self._renew("peers know of more than the file has")
             entries = [Entry(*line) for line in delta.lines]
             self.counts.join(delta.life, delta.name, delta.after, delta.upto, entries)
+            known = self.counts.lives.get(delta.life)
+            if known is not None and (not known.learned or known.learned[-1][1] < known.version):
+                known.learned.append((now, known.version))
         for life, version, check in told.tombs:
             self._tomb(contact, life, Mark(version, check), now)
         if told.page is not None:
             self._page(told.page)
         lacking = [word.life for word in told.words if self._word(contact, word, now)]
+        if self.me.life in lacking and len(contact.flight.get(self.me.life, ())) > 0:
+            lacking.remove(self.me.life)  # it is told of what is new in each round
         place = contact.listed or source
         out = self._past(contact, place, told.want, now) if told.want is not None else []
         return out + self._deltas(contact, place, lacking, now, _REPLIES)
@@ -324,17 +374,18 @@
                 mine = len(self.members.present), self.counts.past_id
                 if (told.here, told.past) > mine and any(t[0] == self.me.life for t in told.tombs):
                     self._retired(exact=False)
-                contact = Contact(newest=(told.run, told.seq, now), tombs={told.life})
+                contact = Contact(told.life, newest=(told.run, told.seq, now), tombs={told.life})
                 self._owed.append(self._datagram(contact, source, now))  # it does not know yet: tell it
                 raise Refused("folded")
-            contact = self.contacts[told.life] = Contact()
+            contact = self.contacts[told.life] = Contact(told.life)
         if member is not None and told.boot < member.boot:
             raise Refused("old-run")
         window = next((w for w in contact.windows if w.run == told.run), None)
         if window is None:
             window = Window(told.run)
             contact.windows = [*contact.windows[-1:], window]
-            contact.sent.clear()
+            contact.flight.clear()
+            contact.mending.clear()
             contact.listed = None  # it may have moved
         if not window.accept(told.seq):
             raise Refused("replayed")
@@ -368,7 +419,19 @@
             self.members.hear(word.life, word.name, word.boot, word.beat, word.left, now)
         contact.marks[word.life] = mark = Mark(word.version, word.check)
         life = self.counts.lives[word.life]
-        return mark.version < life.version or (mark.version == life.version and mark.check != life.check)
+        if mark.version == life.version and mark.check != life.check:
+            if contact.odd.get(life.id, (mark, now))[0] != mark or life.id not in contact.odd:
+                contact.odd[life.id] = (mark, now)
+            return True
+        contact.odd.pop(life.id, None)
+        return mark.version < self._to_relay(life, now)
+
+    def _to_relay(self, life: Life, now: float) -> int:
+        """Up to which version others are told of a life: its owner tells them itself what is new."""
+        if life is self.counts.mine or not life.learned:
+            return life.version
+        ripe = now - max(2 * self.plan.interval, self.settle / 2)
+        return max((version for at, version in life.learned if at <= ripe), default=0)
 
     def _renew(self, why: str) -> None:
         if not self.reborn:
@@ -431,7 +494,9 @@
                 self.contacts.pop(life.id, None)
                 for contact in self.contacts.values():
                     contact.marks.pop(life.id, None)
-                    contact.sent.pop(life.id, None)
+                    contact.flight.pop(life.id, None)
+                    contact.mending.pop(life.id, None)
+                    contact.odd.pop(life.id, None)
                 self.changed_rest = True
 
     def _behind(self, contact: Contact) -> bool:
@@ -488,5 +553,3 @@
                     self.members.drop(life)
                     self.contacts.pop(life, None)
             self.changed_rest = True
-        else:
-            self.diverged = True
--- a/mountgauge/tenants/quota.py
+++ b/mountgauge/tenants/quota.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-PAY_BACK = 1.5  # s
+PAY_BACK = 1.5  # s over which what was taken past the quota is paid back
+MAKE_UP = 3.0  # s over which what was left over of it may be taken: slower, as others may not have heard
 IDLE = 120.0  # s without a message after which a bucket is let go
 DEBT = 2.0  # s of the quota that may be owed at most (or the burst, where that is more)
 _FLOOR = 0.02  # part of the quota that is kept for members which the tenant does not use yet, all together
@@ -54,7 +55,7 @@
     __slots__ = ("at", "due", "due_at", "due_least", "fleet", "part", "promised", "quota", "seen", "tokens")
 
     def __init__(self, quota: Quota, now: float, view: View, up: float) -> None:
-        """`up`: s since this process started, so that starting again and again earns nothing."""
+        """`up`: s since this process started, so that starting again and again earns one message each."""
         self.quota = quota
         self.at = now
         self.part = self._wanted(view)
@@ -63,7 +64,7 @@
         self.fleet = min(quota.burst, quota.rate * up)  # the fleet's own bucket, as the counts show it
         self.seen = view.total
         self.promised = 0.0
-        self.tokens = min(self._room(view), quota.rate * up / max(1, view.known))
+        self.tokens = min(self._room(view), max(1.0, quota.rate * up / max(1, view.known)))
 
     def _side(self, view: View) -> float:
         """This side's part of the quota."""
@@ -99,7 +100,10 @@
                 self.part, self.due = max(self.part, self.due_least), None
         # What the fleet has left over is there for whoever needs it; what it owes is paid by who takes.
         mine = min(1.0, self.part / side) if side else 0.0
-        extra = (max(mine, 1 / view.present) if self.fleet > 0 else mine) * self.fleet / PAY_BACK
+        if self.fleet > 0:
+            extra = max(mine, 1 / view.present) * self.fleet / MAKE_UP
+        else:
+            extra = mine * self.fleet / PAY_BACK
         rate = max(0.0, self.part * quota.rate + extra)
         self.tokens = min(self._room(view), self.tokens + rate * passed)
         self.promised = max(0.0, self.promised - rate * passed)
--- a/mountgauge/tenants/store.py
+++ b/mountgauge/tenants/store.py
@@ -63,16 +63,21 @@
         self.failed = 0
         self.error = ""
         try:
-            self._db = self._open()
+            self._db = self._connect()
+            self._prepare()
             version = self._db.execute("pragma user_version").fetchone()[0]
             self._db.execute("select count(*) from sqlite_master").fetchone()
+        except sqlite3.OperationalError as error:  # locked, or no room: not the file's fault
+            self._db.close()
+            raise StoreError(f"{self.path}: {error}") from None
         except sqlite3.DatabaseError as error:  # not a database, or damaged: counted on under a new life
             self.error = str(error)
             self._db.close()
             self.path.replace(self.path.with_suffix(".damaged"))
             for name in ("-wal", "-shm"):
                 self.path.with_name(self.path.name + name).unlink(missing_ok=True)
-            self._db, version = self._open(), 0
+            self._db, version = self._connect(), 0
+            self._prepare()
         if version > _VERSION:
             self._db.close()
             raise StoreError(f"{self.path}: written by a newer version ({version})")
@@ -82,17 +87,18 @@
             with self._db:
                 self._db.executescript("begin;" + _SCHEMA + f"pragma user_version={_VERSION}; commit;")
 
-    def _open(self) -> sqlite3.Connection:
+    def _connect(self) -> sqlite3.Connection:
         try:
-            db = sqlite3.connect(self.path, isolation_level=None, timeout=0)
+            return sqlite3.connect(self.path, isolation_level=None, timeout=0)
         except sqlite3.Error as error:
             raise StoreError(f"{self.path}: {error}") from None
-        db.execute("pragma journal_mode=wal")
-        db.execute("pragma synchronous=off")
-        db.execute(f"pragma wal_autocheckpoint={_WAL_PAGES}")
-        db.execute(f"pragma journal_size_limit={_WAL_PAGES * _PAGE}")
-        db.execute("pragma cache_size=-256")
-        return db
+
+    def _prepare(self) -> None:
+        for pragma in (
+            "journal_mode=wal", "synchronous=off", f"wal_autocheckpoint={_WAL_PAGES}",
+            f"journal_size_limit={_WAL_PAGES * _PAGE}", "cache_size=-256",
+        ):  # fmt: skip
+            self._db.execute(f"pragma {pragma}")
 
     def load(self, name: str) -> Saved:
         """What was saved under this name; another name's own counts are a life that has ended."""
