--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -375,7 +375,7 @@
 
 
 def scale(members: int, seed: int) -> dict[str, Any]:
-    """Bandwidth and processor time of one member in virtual time: 1,000 tenants, 25 messages a second each."""
+    """Bandwidth and processor time of one member: virtual time, 1,000 tenants, 25 messages a second each."""
     world = World({f"t{n}": None for n in range(TENANTS)}, seed, Weather(loss=0.05, delay=0.02))
     world.add(*(f"m{n}" for n in range(members)))
     world.until(5)
