--- a/mountgauge/tenants/counts.py
+++ b/mountgauge/tenants/counts.py
@@ -20,7 +20,7 @@
 
 from array import array
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 MOST_LIVES = 512
@@ -116,7 +116,6 @@
         self.folded: OrderedDict[int, Mark] = OrderedDict()
         self.past_id = 0  # the exclusive or of the lives in it
         self.past_lives = 0  # how many those are
-        self.past_check = 0
         self.total = [0] * len(self.keys)  # all lives and the past, by tenant
         self.fresh = [0] * len(self.keys)  # the same, without what was told late: for quotas
         self.overfull = 0
@@ -240,7 +239,7 @@
         self.folded.clear()
         self.past = [0] * len(self.keys)
         self.total = [0] * len(self.keys)
-        self.past_id = self.past_lives = self.past_check = 0
+        self.past_id = self.past_lives = 0
 
     # Lives that have ended
 
@@ -251,7 +250,6 @@
         for place, count in enumerate(life.count[: len(self.keys)]):
             self.past[place] += count
         self._remember(id, life.mark)
-        self.past_check = (self.past_check + life.check) & _MASK
 
     def _remember(self, id: int, mark: Mark) -> None:
         self.folded[id] = mark
@@ -277,21 +275,13 @@
         for place, count in places:
             if place is not None:
                 self.past[place] = count
-        self.past_check = sum(count * key for key, count in past.items()) & _MASK
         self.folded = OrderedDict(folded)
         self.past_lives, self.past_id = lives, id
-        before = self.total
         self.total = [
             self.past[p] + sum(life.count[p] for life in self.lives.values()) for p in range(len(self.keys))
         ]
-        assert len(before) <= len(self.total)
         return True
 
-    # Reading
-
-    def by_life(self, place: int, of: Callable[[Life], bool] = lambda life: True) -> dict[int, int]:
-        return {life.id: life.count[place] for life in self.lives.values() if of(life)}
-
 
 def line_size(entry: Entry) -> int:
     """Bytes of one line in MessagePack, at most: quicker than by the number."""
--- a/mountgauge/tenants/gate.py
+++ b/mountgauge/tenants/gate.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from mountgauge.access import DEFAULT
-from mountgauge.tenants.counts import Counts, Entry
+from mountgauge.tenants.counts import Counts, Entry, Life
 from mountgauge.tenants.fleet import Fleet
 from mountgauge.tenants.members import Member, Members
 from mountgauge.tenants.quota import IDLE, Bucket, Demand, Quota, View
@@ -150,7 +150,20 @@
         start = before[place] if place < len(before) else 0
         return max(0, after[place] - start) / (now - then) if place < len(after) else 0.0
 
-    def bounds(self, place: int, now: float) -> tuple[int, int]:
+    def _ages(self, now: float) -> list[tuple[Life, float]]:
+        """The other members' lives, and how old their word is."""
+        if self.fleet is None:
+            return []
+        found = []
+        for member in self.fleet.members.known:
+            life = self.counts.lives.get(member.id)
+            if member is not self.fleet.members.me and life is not None:
+                found.append((life, self.fleet.age(member, now)))
+        return found
+
+    def bounds(
+        self, place: int, now: float, ages: list[tuple[Life, float]] | None = None
+    ) -> tuple[int, int]:
         """The fleet's use since it began: what is surely counted, and what it may be by now.
 
         Above the low bound stands what each other member may have taken on since its last word, at the rate
@@ -161,20 +174,19 @@
             return low, low
         unheard = 0.0
         quota = self.quotas.get(place)
-        members = self.fleet.members
-        for member in members.known:
-            life = self.counts.lives.get(member.id)
-            if member is members.me or life is None:
-                continue
-            age = self.fleet.age(member, now) + self.fleet.plan.flush + self.fleet.plan.interval
+        ages = self._ages(now) if ages is None else ages
+        more = self.fleet.plan.flush + self.fleet.plan.interval
+        usual = 2 * self.rate(place) / (len(ages) + 1) if quota is None else 0.0
+        for life, age in ages:
             asked = life.demand[place] / 10 * 1.2
-            if quota is None and life.count[place]:
-                asked = max(asked, 2 * self.rate(place) / max(1, len(members.present)))
             if quota is not None:
                 asked = min(asked, quota.rate)
-            unheard += math.ceil(asked * age)
-        if quota is not None and not members.split:
-            oldest = max((self.fleet.age(m, now) for m in members.known), default=0.0)
+            elif life.count[place]:
+                asked = max(asked, usual)
+            if asked:
+                unheard += math.ceil(asked * (age + more))
+        if quota is not None and not self.fleet.members.split:
+            oldest = max((age for _, age in ages), default=0.0)
             unheard = min(unheard, math.ceil(quota.burst + 2 * quota.rate * (oldest + 1.0)))
         return low, low + int(unheard)
 
@@ -185,8 +197,9 @@
         if len(places) > most:
             places = sorted(places, key=self.counts.total.__getitem__, reverse=True)[:most]
         tenants = []
+        ages = self._ages(now)
         for place in places:
-            low, high = self.bounds(place, now)
+            low, high = self.bounds(place, now, ages)
             name = by_place.get(place, f"#{self.counts.keys[place]:016x}")
             quota = self.quotas.get(place)
             tenants.append({
--- a/mountgauge/tenants/quota.py
+++ b/mountgauge/tenants/quota.py
@@ -15,7 +15,7 @@
 from enum import StrEnum
 
 PAY_BACK = 1.5  # s over which what was taken past the quota is paid back
-MAKE_UP = 3.0  # s over which what was left over of it may be taken: slower, as others may not have heard
+MAKE_UP = 5.0  # s over which what was left over of it may be taken: slower, as others may not have heard
 IDLE = 120.0  # s without a message after which a bucket is let go
 DEBT = 2.0  # s of the quota that may be owed at most (or the burst, where that is more)
 _FLOOR = 0.02  # part of the quota that is kept for members which the tenant does not use yet, all together
--- a/mountgauge/tenants/service.py
+++ b/mountgauge/tenants/service.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 from typing import Any
 
-from mountgauge.core.config import Address
 from mountgauge.log import kv
 from mountgauge.tenants.counts import Counts
 from mountgauge.tenants.fleet import Fleet, Identity, Out, Place
@@ -233,11 +232,3 @@
     def metrics(self) -> dict[str, Any]:
         """What is exported: by tenant for the most used ones, and of the fleet."""
         return self.gate.report(self._loop.time(), _METRICS)
-
-
-def address_of(tenants: Tenants) -> Address | None:
-    """Where the fleet's socket is bound, once it is."""
-    fleet = tenants.settings.fleet
-    if fleet is None or tenants.udp is None:
-        return None
-    return Address(fleet.listen.host, tenants.udp.port)
--- a/tests/tenants/test_model.py
+++ b/tests/tenants/test_model.py
@@ -95,11 +95,10 @@
             members[0].start(now)
         for member in members:
             assert member.fleet.counts.total[0] <= truth, course
-    for round_ in range(6):  # whole again: all agree, on all that was not lost with a disk
+    for _ in range(6):  # whole again: all agree, on all that was not lost with a disk
         for at in range(number):
             now += 0.25
             gossip(members, at, now, False)
-        assert round_ < 6
     for member in members:
         assert member.fleet.counts.total[0] == truth - lost, (course, truth, lost)
         assert not member.fleet.doubtful and not member.fleet.reborn
