--- a/mountgauge/tenants/gate.py
+++ b/mountgauge/tenants/gate.py
@@ -176,7 +176,8 @@
         quota = self.quotas.get(place)
         ages = self._ages(now) if ages is None else ages
         more = self.fleet.plan.flush + self.fleet.plan.interval
-        usual = 2 * self.rate(place) / (len(ages) + 1) if quota is None else 0.0
+        here = len(self.fleet.members.present)  # whose rate is known: those beyond a split may take as much
+        usual = 2 * self.rate(place) / here if quota is None else 0.0
         for life, age in ages:
             asked = life.demand[place] / 10 * 1.2
             if quota is not None:
