--- a/mountgauge/access.py
+++ b/mountgauge/access.py
@@ -19,6 +19,12 @@
     tenant: str = DEFAULT
 
 
+def user_of(response: bytes) -> str:
+    """Whom a SASL PLAIN response names (RFC 4616), "" where it names nobody."""
+    parts = response.split(b"\0")
+    return parts[1].decode("utf-8", "replace") if len(parts) == 3 else ""
+
+
 @dataclass(frozen=True, slots=True)
 class Access:
     """Without users, anyone may log in on an address that the operator chose, to any virtual host."""
--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -8,26 +8,30 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from mountgauge.access import DEFAULT, Access
+from mountgauge.access import DEFAULT, Access, user_of
 from mountgauge.amqp import codec
 from mountgauge.amqp.codec import AmqpError, Content, Method
 from mountgauge.amqp.link import FRAME_MAX, Link, State
 from mountgauge.core.ports import Answer, End, Status, Submission, Taken
-from mountgauge.sockets import serve
+from mountgauge.holding.front import Front
+from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.seats import Bounds, Line
+from mountgauge.holding.settings import default_settings
+from mountgauge.holding.turns import GOLDEN, RESTED
+from mountgauge.sockets import LINGER
 from rillspindle.interface import Grade
 
 KEY_HEADER = "idempotency-key"
 _CHANNELS = 16  # each may hold a body under way, so this bounds memory
 _MOST_UNSETTLED = 4096  # publishes of one connection that wait for their end
-_OPENING = 2.5  # s for the whole handshake
-_HALFWAY = 2.5  # s for a whole message, from its first byte on
-_LOOK = 0.25  # s between two looks at who sends half a message
 _QUIET = 30.0  # s without a publish after which a connection may go for another's sake
+_QUANTUM = 24  # frames that one connection may have read in a row: eight messages
 NO_ROUTE, NO_CONSUMERS = 312, 313
 
 
@@ -53,35 +57,117 @@
 
 
 class AmqpConnection(Link):
+    """A publisher; with nothing under way it is this object, its transport and its open channels."""
+
+    __slots__ = (
+        "_channels", "_front", "_half_by", "due_at", "line", "opened_by", "since", "tenant", "tick",
+        "unread_by", "unsettled", "user", "woken",
+    )  # fmt: skip
+    quantum = _QUANTUM
+
     def __init__(self, front: AmqpClients) -> None:
         super().__init__(State.HEADER)
         self._front = front
         self._channels: dict[int, Channel] = {}
         self.tenant = DEFAULT  # of the user who logged in
         self.unsettled = 0
-        self.used_at = 0.0
+        self.opened_by = self._half_by = self.unread_by = math.inf
+        self.woken = False  # what is under way came after a rest
+        # The holder's: where it stands, since when, and its one deadline.
+        self.line: int = Line.BUSY
+        self.since, self.user = 0.0, ""
+        self.due_at, self.tick = math.inf, -1
+
+    @property
+    def parked(self) -> bool:
+        return self.answered and not self.halfway
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.used_at = asyncio.get_running_loop().time()
+        self.opened_by = self._front.keeper.now() + self._front.times.handshake
         self._front.joined(self)
-        asyncio.get_running_loop().call_later(_OPENING, self._opened_in_time)
 
-    def _opened_in_time(self) -> None:
-        if self.state is not State.READY:
+    # Deadlines: the wheel has one for each connection
+
+    @property
+    def deadline(self) -> float:
+        if self._closing_by < math.inf:
+            return self._closing_by
+        found = min(super().deadline, self.opened_by, self._half_by, self.unread_by)
+        if self.state is State.READY and self.answered:
+            found = min(found, self.since + self._front.times.idle)
+        return found
+
+    def arm(self, when: float) -> None:
+        self._front.keeper.arm(self, when)
+
+    def on_due(self, now: float) -> None:
+        counts = self._front.counts
+        if self._closing_by < math.inf or self.transport is None:
+            super().on_due(now)
+        elif now >= self.opened_by:
+            counts["clients", "silent"] += 1
             self.abort()
+        elif now >= self.unread_by:
+            counts["clients", "unread"] += 1
+            self.abort()
+        elif now >= self._half_by:
+            counts["clients", "halfway"] += 1
+            self.close_with(AmqpError(501, "FRAME_ERROR - a message was not finished in time"))
+            self.hear_no_more()
+        elif self.answered and now - self.since >= self._front.times.idle and not self.halfway:
+            counts["clients", "idle"] += 1
+            self.close_with(AmqpError(320, "CONNECTION_FORCED - idle for too long"))
+        else:
+            if self._heartbeat and now >= self._silent_at:
+                counts["clients", "dead"] += 1
+            super().on_due(now)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        super().buffer_updated(nbytes)
+        self._keep()
+
+    def more(self) -> None:
+        super().more()
+        self._keep()
+        if not self._more and self.transport is not None and not self.transport.is_closing() and self.flushed:
+            self.transport.resume_reading()
+
+    def wait_turn(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+        self._front.keeper.wait(self)
+
+    def _keep(self) -> None:
+        """Half a message holds memory and a place: judged by the whole, as bytes may trickle for ever."""
+        if self.state is State.CLOSED:
+            return
+        half = self.halfway and self.state is State.READY
+        if half:
+            by = self._whole_at + self._front.times.half
+            if by != self._half_by:
+                self._half_by = by
+                self.arm(self.deadline)
+        else:
+            self._half_by = math.inf
+        self._front.holds(self, self.held if self.halfway else 0)
 
     def on_lost(self) -> None:
         for channel in self._channels.values():
             channel.open = False
         self._front.left(self)
 
+    def displace(self) -> None:
+        self.abort()
+
+    def turn_away(self, again_ms: int) -> None:
+        self.abort()
+
     def on_header(self, head: bytes) -> None:
         if head != codec.PROTOCOL_HEADER:
             self.send(codec.PROTOCOL_HEADER)  # the version that is spoken here
-            if self.transport is not None:
-                self.transport.close()
             self.state = State.CLOSING
+            self._part()
             return
         self.state = State.START
         capabilities = {"publisher_confirms": True, "basic.nack": True, "connection.blocked": False}
@@ -95,16 +181,26 @@
             locales="en_US",
         )
 
+    def _part(self) -> None:
+        """Close, once what was written has left: in a bounded time."""
+        if self.transport is not None:
+            self._closing_by = self._front.keeper.now() + LINGER
+            self.arm(self._closing_by)
+            self.transport.close()
+
     # Back-pressure: a client that does not read its answers is not read
 
     def pause_writing(self) -> None:
         super().pause_writing()
         if self.transport is not None:
             self.transport.pause_reading()
+            self.unread_by = self._front.keeper.now() + self._front.times.unread
+            self.arm(self.deadline)
 
     def resume_writing(self) -> None:
         super().resume_writing()
-        if self.transport is not None and not self.transport.is_closing():
+        self.unread_by = math.inf
+        if self.transport is not None and not self.transport.is_closing() and not self._more:
             self.transport.resume_reading()
 
     # Methods
@@ -113,11 +209,9 @@
         name = method.name
         if name == "connection.close":
             self.send_method(0, "connection.close-ok")
-            if self.transport is not None:
-                self.transport.close()
+            self._part()
         elif name == "connection.close-ok":
-            if self.transport is not None:
-                self.transport.close()
+            self._part()
         elif name.startswith("connection."):
             if channel:
                 raise AmqpError(503, "COMMAND_INVALID - connection method on a channel")
@@ -133,6 +227,9 @@
             tenant = self._front.access.login(args["mechanism"], args["response"])
             if tenant is None:
                 raise AmqpError(403, "ACCESS_REFUSED", True, 10, 11)
+            if self._front.seats.log_in(self, user_of(args["response"])) is not None:
+                self._front.counts["clients", "turned-away-user-full"] += 1
+                raise AmqpError(530, "NOT_ALLOWED - too many connections of this user", True, 10, 11)
             self.tenant = tenant
             self.state = State.TUNE
             self.send_method(
@@ -147,12 +244,15 @@
             if not codec.FRAME_MIN <= asked <= FRAME_MAX or args["channel_max"] > _CHANNELS:
                 raise AmqpError(530, "NOT_ALLOWED - more than was offered", True, 10, 31)
             self.frame_max = self._parser.frame_max = asked
-            self.beat_every(args["heartbeat"])
+            self.beat_every(args["heartbeat"], self._front.phase())
             self.state = State.OPEN
         elif (self.state, name) == (State.OPEN, "connection.open"):
             if not self._front.access.opens(args["vhost"]):
                 raise AmqpError(530, "NOT_ALLOWED - no such virtual host", True, 10, 40)
             self.state = State.READY
+            self.opened_by = math.inf
+            self._front.stand(self, Line.RESTING)
+            self.arm(self.deadline)
             self.send_method(0, "connection.open-ok")
         else:
             raise AmqpError(503, f"COMMAND_INVALID - {name} now", True, method.class_id, method.method_id)
@@ -216,12 +316,17 @@
         if content.method.args["immediate"]:
             raise AmqpError(540, "NOT_IMPLEMENTED - immediate", True, codec.BASIC, 40)
         found.tag += 1
+        if not self.unsettled:
+            self.woken = self._front.keeper.now() - self.since >= RESTED
+            self._front.stand(self, Line.BUSY)
         self.unsettled += 1
-        self.used_at = asyncio.get_running_loop().time()
         self._front.publish(Waiter(self, found, found.tag, content))
 
     def settle(self, waiter: Waiter, end: End, text: str = "") -> None:
         self.unsettled -= 1
+        if not self.unsettled and self.state is State.READY:
+            self._front.stand(self, Line.RESTING)
+            self.arm(self.deadline)
         channel, content = waiter.channel, waiter.content
         if not channel.open or self.state is not State.READY:
             return
@@ -257,7 +362,7 @@
         self.close_with(AmqpError(320, "CONNECTION_FORCED - the sender stops"))
 
 
-class AmqpClients:
+class AmqpClients(Front[AmqpConnection]):
     """The listening side, and the front to which the core tells each end."""
 
     def __init__(
@@ -269,64 +374,33 @@
         access: Access | None = None,
         heartbeat: int = 30,
         exchange: str = "mountgauge",
+        keeper: Keeper | None = None,
     ) -> None:
-        self._submit, self._names, self._grades, self._most = submit, names, grades, most
+        """Without a `keeper` of the operator's file, `most` connections and the usual times hold."""
+        keeper = keeper or Keeper(default_settings(most, most))
+        settings = keeper.settings
+        bounds = Bounds(
+            min(most, settings.most_amqp), settings.most_per_user, settings.displace, quiet_s=_QUIET
+        )
+        super().__init__(keeper, bounds, settings.amqp)
+        self._submit, self._names, self._grades = submit, names, grades
         self.access, self.heartbeat, self.exchange = access or Access(), heartbeat, exchange
-        self._connections: set[AmqpConnection] = set()
         self._waiters: dict[str, list[Waiter]] = {}
-        self._server: asyncio.Server | None = None
-        self._look_timer: asyncio.TimerHandle | None = None
-        self.port = 0
+        self._phase = 0.0
 
     async def listen(self, host: str, port: int) -> None:
-        self._server, self.port = await serve(lambda: AmqpConnection(self), host, port)
+        self.listen_with(lambda: AmqpConnection(self), lambda: b"", host, port)
 
-    def joined(self, connection: AmqpConnection) -> None:
-        if len(self._connections) >= self._most and not self._make_room():  # descriptors are bounded
-            connection.abort()
-            return
-        self._connections.add(connection)
-        if self._look_timer is None:
-            self._look_timer = asyncio.get_running_loop().call_later(_LOOK, self._look)
-
-    def _make_room(self) -> bool:
-        """One that publishes nothing goes: first who has not even opened, then who has long been quiet."""
-        now = asyncio.get_running_loop().time()
-        idle = [c for c in self._connections if c.state is not State.READY or now - c.used_at > _QUIET]
-        idle = [c for c in idle if c.answered]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda c: (c.state is State.READY, c.used_at))
-        self._connections.discard(oldest)
-        oldest.abort()
-        return True
-
-    def _look(self) -> None:
-        """Half a message holds memory and a place: judged by the whole, as bytes may trickle for ever."""
-        now = asyncio.get_running_loop().time()
-        for connection in list(self._connections):
-            if connection.state is State.READY and connection.halfway_for(now) > _HALFWAY:
-                connection.close_with(AmqpError(501, "FRAME_ERROR - a message was not finished in time"))
-                connection.hear_no_more()
-        self._look_timer = None
-        if self._connections:
-            self._look_timer = asyncio.get_running_loop().call_later(_LOOK, self._look)
-
-    def left(self, connection: AmqpConnection) -> None:
-        self._connections.discard(connection)
-
-    def stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+    def phase(self) -> float:
+        """Of heartbeats: spread evenly, whoever connects when."""
+        self._phase = (self._phase + GOLDEN) % 1.0
+        return self._phase
 
     def close_idle(self) -> None:
-        for connection in list(self._connections):
-            if connection.answered:
-                connection.end()
+        self.close_each(lambda connection: connection.end() if connection.answered else None)
 
     def close(self) -> None:
-        for connection in list(self._connections):
-            connection.end()
+        self.close_each(AmqpConnection.end)
 
     # Messages
 
@@ -336,11 +410,24 @@
         except ValueError as error:
             waiter.connection.settle(waiter, End(Status.UNDELIVERABLE), f"UNDELIVERABLE - {error}")
             return
-        if waiter.connection.unsettled > _MOST_UNSETTLED:
-            waiter.connection.settle(waiter, End(Status.DEFERRED))
+        if waiter.connection.unsettled > _MOST_UNSETTLED or self._pressed(waiter.connection):
+            waiter.connection.settle(waiter, self._spread(End(Status.DEFERRED)))
             return
         self._submit(submission)
 
+    def _pressed(self, connection: AmqpConnection) -> bool:
+        """More want to be heard than can be: answered at once, as the core could not do in time."""
+        if not self.keeper.sheds or not self.keeper.crowd.pressed(self.keeper.now(), connection.woken):
+            return False
+        self.counts["clients", "crowded"] += 1
+        return True
+
+    def _spread(self, end: End) -> End:
+        """No room: nobody said when there will be."""
+        if end.status is not Status.DEFERRED or end.again_ms > 0 or not self.keeper.sheds:
+            return end
+        return End(Status.DEFERRED, self.come_again())
+
     def _submission(self, waiter: Waiter) -> Submission:
         properties: dict[str, Any] = waiter.content.properties
         name = str(properties.get("type", ""))
@@ -366,8 +453,9 @@
         def answer(what: Answer) -> None:
             if isinstance(what, Taken):
                 self._waiters.setdefault(msg_id, []).append(waiter)
+                self.keeper.crowd.served(self.keeper.now())
             else:
-                waiter.connection.settle(waiter, what)
+                waiter.connection.settle(waiter, self._spread(what))
 
         return Submission(
             msg_id,
--- a/mountgauge/amqp/codec.py
+++ b/mountgauge/amqp/codec.py
@@ -38,6 +38,8 @@
 class FrameParser:
     """Feed it what arrives; it yields whole frames and refuses those over the agreed size."""
 
+    __slots__ = ("_buffer", "frame_max")
+
     def __init__(self, frame_max: int) -> None:
         self.frame_max = frame_max
         self._buffer = bytearray()
@@ -49,6 +51,11 @@
     def partial(self) -> bool:
         return bool(self._buffer)
 
+    @property
+    def held(self) -> int:
+        """Bytes that it keeps."""
+        return len(self._buffer)
+
     def header(self) -> bytes | None:
         """The eight bytes that open a connection, None until they have come."""
         if len(self._buffer) < 8:
--- a/mountgauge/amqp/link.py
+++ b/mountgauge/amqp/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import Enum
 from typing import Any, cast
 
@@ -13,6 +14,8 @@
 _RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 MOST_BODY = 64 * 1024
 FRAME_MAX = 128 * 1024
+_GRACE = 0.25  # s past two intervals, for a beat that is on its way
+_CLOSING = 2.0  # s in which a close is to be answered
 
 
 class State(Enum):
@@ -26,7 +29,13 @@
 
 
 class Link(asyncio.BufferedProtocol):
-    """Subclasses take `on_method`, `on_content` and `on_lost`."""
+    """Subclasses take `on_method`, `on_content`, `on_lost`, and `arm` where a wheel has their deadlines."""
+
+    __slots__ = (
+        "_beat", "_beat_at", "_closing_by", "_contents", "_drain", "_heartbeat", "_more", "_parser",
+        "_read_at", "_whole_at", "flushed", "frame_max", "state", "transport",
+    )  # fmt: skip
+    quantum = 1 << 30  # frames that are read in a row
 
     def __init__(self, state: State) -> None:
         self.state = state
@@ -38,7 +47,10 @@
         self._heartbeat = 0.0
         self._drain: Drain | None = None  # once nothing more is heard
         self._whole_at = 0.0  # when a frame or a message last stood half there no longer
-        self._read_at = self._wrote_at = 0.0
+        self._more = False  # frames have come that wait for their turn
+        self._read_at = 0.0
+        self._beat_at = math.inf  # when the next heartbeat has to leave
+        self._closing_by = math.inf  # when the answer to a close is given up
         self._beat: asyncio.TimerHandle | None = None
 
     # For subclasses
@@ -51,6 +63,9 @@
 
     def on_header(self, head: bytes) -> None: ...
 
+    def wait_turn(self) -> None:
+        """More has come than `quantum`; `more` is to be called in turn."""
+
     def on_error(self, channel: int, error: AmqpError) -> None:
         self.close_with(error)
 
@@ -58,7 +73,8 @@
 
     def send(self, data: bytes) -> None:
         if self.transport is not None and self.state is not State.CLOSED:
-            self._wrote_at = asyncio.get_running_loop().time()
+            if self._heartbeat:
+                self._beat_at = asyncio.get_running_loop().time() + self._heartbeat / 2
             self.transport.write(data)
 
     def send_method(self, channel: int, name: str, **args: Any) -> None:
@@ -76,7 +92,8 @@
             method_id=error.method_id,
         )
         self.state = State.CLOSING
-        asyncio.get_running_loop().call_later(2.0, self.abort)  # an answer that never comes
+        self._closing_by = asyncio.get_running_loop().time() + _CLOSING
+        self.arm(self.deadline)
 
     def hear_no_more(self) -> None:
         if self._drain is None and self.transport is not None:
@@ -86,23 +103,50 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def beat_every(self, seconds: float) -> None:
-        """Heartbeats as agreed; silence for two intervals means that the other side is gone."""
+    # Deadlines: one for each link, the earliest of its own
+
+    def beat_every(self, seconds: float, phase: float = 1.0) -> None:
+        """Heartbeats as agreed; silence for two intervals means that the other side is gone.
+
+        The first one leaves after `phase` of half an interval: spread, so that not all beat together.
+        """
         self._heartbeat = seconds
         if seconds > 0:
             self._read_at = asyncio.get_running_loop().time()
-            self._tick()
+            self._beat_at = self._read_at + phase * seconds / 2
+            self.arm(self.deadline)
+
+    @property
+    def deadline(self) -> float:
+        """When `on_due` has something to do (s); inf: never."""
+        if self._closing_by < math.inf:
+            return self._closing_by
+        if not self._heartbeat:
+            return math.inf
+        return min(self._beat_at, self._silent_at)
 
-    def _tick(self) -> None:
+    @property
+    def _silent_at(self) -> float:
+        return self._read_at + 2 * self._heartbeat + min(_GRACE, self._heartbeat / 4)
+
+    def on_due(self, now: float) -> None:
         if self.state is State.CLOSED:
             return
-        loop = asyncio.get_running_loop()
-        if loop.time() - self._read_at > 2 * self._heartbeat:
+        if now >= self._closing_by or (self._heartbeat and now >= self._silent_at):
             self.abort()
             return
-        if loop.time() - self._wrote_at >= self._heartbeat / 2:
+        if now >= self._beat_at and self.state is not State.CLOSING:
             self.send(codec.frame(codec.HEARTBEAT, 0, b""))
-        self._beat = loop.call_later(self._heartbeat / 4, self._tick)
+        self.arm(self.deadline)
+
+    def arm(self, when: float) -> None:
+        """`on_due` is wanted at `when`, and at no time set before."""
+        if self._beat is not None:
+            self._beat.cancel()
+            self._beat = None
+        if when < math.inf:
+            loop = asyncio.get_running_loop()
+            self._beat = loop.call_at(when, lambda: self.on_due(loop.time()))
 
     # In
 
@@ -134,15 +178,23 @@
         """A frame or a message has begun and is not whole."""
         return self._parser.partial or bool(self._contents)
 
-    def halfway_for(self, now: float) -> float:
-        return now - self._whole_at if self.halfway else 0.0
+    @property
+    def held(self) -> int:
+        """Bytes of what has begun and is not whole."""
+        return self._parser.held + sum(len(one.body) for one in self._contents.values())
 
     def read(self) -> None:
         if self.state is State.HEADER:
             if (head := self._parser.header()) is None:
                 return
             self.on_header(head)
-        while self.state is not State.CLOSED:
+        left = self.quantum
+        while self.state is not State.CLOSED and not self._more:
+            if not left:
+                self._more = True
+                self.wait_turn()
+                return
+            left -= 1
             try:
                 one = self._parser.next()
             except AmqpError as error:  # where the next frame begins is not known any more
@@ -156,6 +208,12 @@
             except AmqpError as error:
                 self.on_error(one.channel, error)
 
+    def more(self) -> None:
+        """Its turn to have more frames read."""
+        self._more = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.read()
+
     def _frame(self, one: Frame) -> None:
         kind, channel, payload = one
         if kind == codec.HEARTBEAT:
@@ -210,4 +268,6 @@
                 self._beat.cancel()
             if self._drain is not None:
                 self._drain.close()
+                self._drain = None
             self.on_lost()
+            self.transport = None
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -12,6 +12,8 @@
 
 from mountgauge import __version__, agent
 from mountgauge.core.config import Address, Config, ConfigError
+from mountgauge.holding.descriptors import limits, shortfall
+from mountgauge.holding.turn_watch import watched_loop
 from mountgauge.log import set_up
 from mountgauge.operator_file import load
 from mountgauge.runtime import serve
@@ -54,7 +56,9 @@
         operator.config.state.mkdir(parents=True, exist_ok=True)
     except OSError as error:
         raise ConfigError(f"{file}: state: {error.strerror}: {operator.config.state}") from None
-    asyncio.run(serve(operator.config, operator))
+    watch, loop = watched_loop()
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        runner.run(serve(operator.config, operator, watch))
     return 0
 
 
@@ -108,6 +112,9 @@
     else:
         operator = load(file)
         print(f"{file}: {operator.config.name}, {len(operator.hops.update.hops)} next hops")
+        if (why := shortfall(operator.config.limits.sockets, limits()[1])) is not None:
+            print(f"mountgauge: {file}: {why}", file=sys.stderr)
+            return 1
     return 0
 
 
--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import math
-from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from typing import cast
 
 from mountgauge.access import DEFAULT, Access
-from mountgauge.core.ports import Answer, End, Status, Submission, Taken
-from mountgauge.sockets import LINGER, Drain, serve
+from mountgauge.core.ports import Answer, Status, Submission, Taken
+from mountgauge.holding.front import Front
+from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.seats import Bounds, Line
+from mountgauge.holding.settings import platform_settings
+from mountgauge.holding.turns import QUANTUM, RESTED
+from mountgauge.holding.wheel import FAR
+from mountgauge.sockets import LINGER, Drain
 
 _RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 _MOST_ARGS = 16
@@ -18,11 +23,6 @@
 _MOST_HEADER = 32  # bytes of a line such as `$212`
 _MOST_COMMAND = _MOST_BULK + 2048  # bytes of all its arguments
 _MOST_BAD = 16  # requests of one connection that were not understood; with the last one it is closed
-_SILENCE = 2.0  # s, with nothing asked, in which a whole command must come: the first one, or one begun
-_IDLE = 5.0  # s without a request after which a connection is let go
-_LOOK = 0.25  # s between two looks at who is silent
-_COME_AGAIN = 200  # ms after which one that no descriptor was left for may come again
-_YOUNG = 0.1  # s in which a new connection's first command is surely under way
 _MOST_WAITING = 64  # unanswered requests of one connection; past them it is not read
 
 
@@ -33,6 +33,8 @@
 class RespParser:
     """Commands as arrays of bulk strings, bounded, fed as they arrive."""
 
+    __slots__ = ("_args", "_buffer", "_count", "_room", "_size")
+
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._args: list[bytes] = []
@@ -45,52 +47,67 @@
         """A command has begun and is not whole."""
         return bool(self._buffer or self._count)
 
+    @property
+    def held(self) -> int:
+        """Bytes that it keeps."""
+        return len(self._buffer) + sum(map(len, self._args))
+
     def feed(self, data: bytes | memoryview) -> None:
         self._buffer += data
 
     def next(self) -> list[bytes] | None:
         """The next whole command, None until it has come."""
-        while True:
-            if not self._count:
-                if (count := self._header(b"*", _MOST_ARGS)) is None:
+        buffer, at = self._buffer, 0  # what is read is cut off once, at the end
+        try:
+            while True:
+                if not self._count:
+                    count, at = self._header(b"*", _MOST_ARGS, at)
+                    if count < 0:
+                        return None
+                    self._count, self._room = count, _MOST_COMMAND
+                    if not count:
+                        continue
+                if self._size < 0:
+                    size, at = self._header(b"$", _MOST_BULK, at)
+                    if size < 0:
+                        return None
+                    self._size = size
+                    self._room -= size
+                    if self._room < 0:
+                        raise RespError("too long")
+                end = at + self._size
+                if len(buffer) < end + 2:
                     return None
-                self._count, self._room = count, _MOST_COMMAND
-                if not count:
-                    continue
-            elif self._size < 0:
-                if (size := self._header(b"$", _MOST_BULK)) is None:
-                    return None
-                self._size = size
-                self._room -= size
-                if self._room < 0:
-                    raise RespError("too long")
-            else:
-                if len(self._buffer) < self._size + 2:
-                    return None
-                if self._buffer[self._size : self._size + 2] != b"\r\n":
+                if buffer[end : end + 2] != b"\r\n":
                     raise RespError("bulk string without its end")
-                self._args.append(bytes(self._buffer[: self._size]))
-                del self._buffer[: self._size + 2]
-                self._size = -1
+                self._args.append(bytes(buffer[at:end]))
+                at, self._size = end + 2, -1
                 if len(self._args) == self._count:
                     args, self._args, self._count = self._args, [], 0
                     return args
-
-    def _header(self, sign: bytes, most: int) -> int | None:
-        end = self._buffer.find(b"\r\n", 0, _MOST_HEADER)
-        if self._buffer and not self._buffer.startswith(sign):
+        finally:
+            if at:
+                del buffer[:at]
+
+    def _header(self, sign: bytes, most: int, at: int) -> tuple[int, int]:
+        """The number on the line at `at`, -1 until it has come, and where the next one begins."""
+        buffer = self._buffer
+        if at == len(buffer):
+            return -1, at
+        if not buffer.startswith(sign, at):
             raise RespError(f"expected '{sign.decode()}'")
+        end = buffer.find(b"\r\n", at, at + _MOST_HEADER)
         if end < 0:
-            if len(self._buffer) >= _MOST_HEADER:
+            if len(buffer) - at >= _MOST_HEADER:
                 raise RespError("a length is too long")
-            return None
-        digits = bytes(self._buffer[1:end])
+            return -1, at
+        digits = buffer[at + 1 : end]
         if not digits.isdigit():
             raise RespError("invalid length")
-        if int(digits) > most:
+        number = int(digits)
+        if number > most:
             raise RespError("too long")
-        del self._buffer[: end + 2]
-        return int(digits)
+        return number, end + 2
 
 
 class BadRequest(ValueError):
@@ -111,38 +128,50 @@
 
 
 class ClientConnection(asyncio.BufferedProtocol):
-    """READING while requests are answered in turn, PAUSED past a bound, CLOSING, then CLOSED."""
+    """READING while requests are answered in turn, PAUSED past a bound, CLOSING, then CLOSED.
+
+    With nothing asked it keeps no parser and no place for answers: some 300 bytes are all there is of it.
+    """
+
+    __slots__ = (
+        "_bad", "_choked", "_clients", "_drain", "_half_at", "_more", "_parser", "_paused", "_slots",
+        "_transport", "_within", "closed", "closing", "due_at", "greeted", "handed_in", "line", "since",
+        "tenant", "tick", "user", "woken",
+    )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
         self._clients = clients
-        self._parser = RespParser()
-        self._slots: deque[Slot] = deque()
+        self._parser: RespParser | None = None
+        self._slots: list[Slot] = []
         self._transport: asyncio.Transport | None = None
         self._paused = self._choked = False
+        self._more = False  # commands have come that wait for its next turn
+        self._within = False  # it is reading
         self._drain: Drain | None = None  # once nothing more is heard
         self._bad = 0
+        self._half_at = FAR  # when the command began that is not whole
         self.closing = self.closed = False
         self.tenant = ""  # of the user who logged in; none yet
-        self.handed_in = 0  # messages, changed while it is in no list of those that rest
+        self.handed_in = 0  # messages
         self.greeted = False  # a whole command has come
-        self.since = 0.0  # when it came, or was last left with nothing asked
-        self.ending = 0.0  # when it was closed
+        self.woken = False  # the command under way came after a rest
+        # The holder's: where it stands, since when, and its one deadline.
+        self.line: int = Line.BUSY
+        self.since, self.user = 0.0, ""
+        self.due_at, self.tick = FAR, -1
 
     @property
-    def idle(self) -> bool:
-        return not self._slots
+    def parked(self) -> bool:
+        return not self._slots and self._parser is None
 
     @property
     def rank(self) -> int:
-        return (1, 0, 2)[min(self.handed_in, 2)]
-
-    @property
-    def halfway(self) -> bool:
-        return self._parser.partial
+        """Who asked once and stayed goes first, then who has only said PING and may be about to hand in its
+        first message, last who uses its connection again and again."""
+        return Line.RESTING + (1, 0, 2)[min(self.handed_in, 2)]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self.since = asyncio.get_running_loop().time()
         self._clients.joined(self)
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -152,11 +181,35 @@
         if self._drain is not None:
             self._drain.took()
             return
+        if self._parser is None:
+            self._parser = RespParser()
         self._parser.feed(memoryview(_RECEIVE)[:nbytes])
         self._read()
 
+    def more(self) -> None:
+        """Its turn to have more commands read."""
+        self._more = False
+        self._read()
+
     def _read(self) -> None:
-        while not self.closing and len(self._slots) < _MOST_WAITING and not self._choked:
+        if self._more or self._within:
+            return  # in turn, or an answer came while it reads
+        self._within = True
+        try:
+            self._read_some()
+        finally:
+            self._within = False
+        self._pace()
+
+    def _read_some(self) -> None:
+        left = QUANTUM
+        whole = False
+        while not self.closing and len(self._slots) < _MOST_WAITING and not self._choked and self._parser:
+            if not left:
+                self._more = True
+                self._clients.keeper.wait(self)
+                break
+            left -= 1
             try:
                 args = self._parser.next()
             except RespError as error:  # what follows cannot be told apart any more
@@ -164,9 +217,10 @@
                 return
             if args is None:
                 break
-            self.greeted = True
-            if not self._slots:
-                self._clients.busy(self)
+            whole = self.greeted = True
+            if not self._slots and self.line != Line.BUSY:
+                self.woken = self._clients.keeper.now() - self.since >= RESTED
+                self._clients.stand(self, Line.BUSY)
             self._slots.append(slot := Slot())
             try:
                 self._clients.request(args, self, slot)
@@ -177,7 +231,47 @@
                     self.refuse(str(error), error.code)
                     return
                 self._fill(slot, f"-{error.code} {error}\r\n".encode())
-        self._pace()
+        self._keep(whole)
+
+    def _keep(self, whole: bool) -> None:
+        """Keep what a command that is not whole needs, and nothing where there is none."""
+        if self._parser is None:
+            return
+        if self._parser.partial:
+            if whole or self._half_at == FAR:
+                self._half_at = self._clients.keeper.now()
+            self._clients.holds(self, self._parser.held)
+            if not self._slots and not self.closing:
+                self._watch()
+        else:
+            self._parser, self._half_at = None, FAR
+            self._clients.holds(self, 0)
+
+    def _watch(self) -> None:
+        """Nothing is asked: how long it may stay so."""
+        times = self._clients.times
+        limit = times.idle if self.greeted else times.handshake
+        self._clients.keeper.arm(self, min(self.since + limit, self._half_at + times.half))
+
+    def on_due(self, now: float) -> None:
+        """Let go of who asks nothing: judged by whole commands, as bytes alone may trickle for ever."""
+        times = self._clients.times
+        if self.closing:
+            if not self._slots or self._choked:
+                self.abort()  # it does not read its last answers, or says no end of things
+        elif self._choked:
+            self._clients.counts["clients", "unread"] += 1
+            self.abort()
+        elif self._slots:
+            return
+        elif self._half_at < FAR and (not self.greeted or now - self._half_at >= times.half):
+            self._clients.counts["clients", "halfway"] += 1
+            self.refuse("Protocol error: a command was not finished in time")
+        elif self._half_at < FAR:
+            self._clients.keeper.arm(self, self._half_at + times.half)
+        else:
+            self._clients.counts["clients", "idle" if self.greeted else "silent"] += 1
+            self.close()
 
     def refuse(self, why: str, code: str = "ERR") -> None:
         """Say why, hear nothing more, and close once all that was asked before is answered."""
@@ -185,7 +279,8 @@
             return
         self._slots.append(slot := Slot())
         self.closing = True
-        self._parser = RespParser()
+        self._parser, self._half_at = None, FAR
+        self._clients.holds(self, 0)
         self._drain = Drain(self._transport)
         if self._paused and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -193,7 +288,7 @@
 
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends too many requests, is not read."""
-        hold = len(self._slots) >= _MOST_WAITING or self._choked
+        hold = len(self._slots) >= _MOST_WAITING or self._choked or self._more
         if self._transport is None or self._transport.is_closing() or hold == self._paused or self._drain:
             return
         self._paused = hold
@@ -204,32 +299,42 @@
 
     def pause_writing(self) -> None:
         self._choked = True
+        keeper, unread = self._clients.keeper, self._clients.times.unread
+        if not self.closing:
+            keeper.arm(self, keeper.now() + unread)
         self._pace()
 
     def resume_writing(self) -> None:
         self._choked = False
+        if not self._slots and not self.closing:
+            self._watch()
         self._read()
 
     def _fill(self, slot: Slot, content: bytes) -> None:
         slot.content = content
-        ready = []
-        while self._slots and (first := self._slots[0].content) is not None:
-            ready.append(first)
-            self._slots.popleft()
-        if ready and self._transport is not None and not self.closed:
-            self._transport.write(b"".join(ready))
-            if not self._slots:
-                self.since = asyncio.get_running_loop().time()
-                if self.closing:
-                    self._end()
-                else:
-                    self._clients.rests(self)
+        slots, count = self._slots, 0
+        while count < len(slots) and slots[count].content is not None:
+            count += 1
+        if not count:
+            return
+        ready = b"".join(cast(bytes, one.content) for one in slots[:count])
+        del slots[:count]
+        if self._transport is not None and not self.closed:
+            if not slots:
+                self.since = self._clients.keeper.now()
+                if not self.closing:
+                    self._clients.stand(self, self.rank)
+                    self._watch()
+            self._transport.write(ready)
+            if not slots and self.closing:
+                self._end()
 
     def _end(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        self.ending = asyncio.get_running_loop().time()
-        self._clients.leaving(self)
+        self._clients.stand(self, Line.LEAVING)
+        keeper = self._clients.keeper
+        keeper.arm(self, keeper.now() + LINGER)
         if self._drain is not None:
             self._transport.write_eof()
         else:
@@ -246,11 +351,17 @@
         if not self._slots:
             self._end()
 
-    def turn_away(self) -> None:
+    def displace(self) -> None:
+        if Line.RESTING <= self.line < Line.LEAVING:
+            self.close()
+        else:
+            self.abort()
+
+    def turn_away(self, again_ms: int) -> None:
         """No descriptor to spare: handing in again is harmless."""
         self.closing = True
         if self._transport is not None:
-            self._transport.write(b"-BUSY %d\r\n" % _COME_AGAIN)
+            self._transport.write(b"-BUSY %d\r\n" % again_ms)
             self._transport.close()
 
     def abort(self) -> None:
@@ -259,16 +370,21 @@
 
     def eof_received(self) -> bool:
         self.closing = True
+        if not self._slots:
+            keeper = self._clients.keeper
+            keeper.arm(self, keeper.now() + LINGER)  # for what it has not read yet
         return bool(self._slots) and self._drain is None  # the answers still go out
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = self.closing = True
+        self._parser = self._transport = None
         if self._drain is not None:
             self._drain.close()
+            self._drain = None
         self._clients.left(self)
 
 
-class Clients:
+class Clients(Front[ClientConnection]):
     """The listening side: parses requests into submissions for the core."""
 
     def __init__(
@@ -279,117 +395,27 @@
         front: str = "platform",
         deadlines: Sequence[float] = (),
         access: Access | None = None,
+        keeper: Keeper | None = None,
     ) -> None:
+        """Without a `keeper` of an operator's file, the platform's times and `most` connections hold."""
+        keeper = keeper or Keeper(platform_settings(most))
+        settings = keeper.settings
+        bounds = Bounds(min(most, settings.most_resp), settings.most_per_user, settings.displace)
+        super().__init__(keeper, bounds, settings.resp)
         self._submit = submit
         self._grades = {name.encode(): place for place, name in enumerate(grades)}
         self._deadlines = deadlines or [math.inf] * len(grades)
-        self._most = most
         self._front = front
         self.access = access  # None on the platform, which knows no users
-        self._connections: set[ClientConnection] = set()
-        # Those that nothing was asked on, longest first: since they joined, and since their last answer.
-        self._silent: dict[ClientConnection, None] = {}
-        # These in three ranks, the first to be displaced first: who asked once and stayed, who has only said
-        # PING and may be about to hand in its first message, and who uses its connection again and again.
-        self._resting: tuple[dict[ClientConnection, None], ...] = ({}, {}, {})
-        self._leaving: dict[ClientConnection, None] = {}
-        self._server: asyncio.Server | None = None
-        self._look_timer: asyncio.TimerHandle | None = None
-        self.counts: Counter[tuple[str, str]] = Counter()  # how connections fared
-        self.port = 0
 
     async def listen(self, host: str, port: int) -> None:
-        self._server, self.port = await serve(lambda: ClientConnection(self), host, port)
-
-    def joined(self, connection: ClientConnection) -> None:
-        """Descriptors are bounded: one that asks nothing goes, as a sender may close between requests."""
-        self.counts["clients", "joined"] += 1
-        if len(self._connections) >= self._most and not self._make_room():
-            self.counts["clients", "turned-away"] += 1
-            connection.turn_away()
-            return
-        self._connections.add(connection)
-        self._silent[connection] = None
-        if self._look_timer is None:
-            self._look_timer = asyncio.get_running_loop().call_later(_LOOK, self._look)
-
-    def _make_room(self) -> bool:
-        then = asyncio.get_running_loop().time() - _YOUNG
-        leaving, silent = next(iter(self._leaving), None), next(iter(self._silent), None)
-        resting = next((c for of in self._resting for c in of), None)
-        if leaving is not None and leaving.ending < then:  # it has had time to read its last answer
-            oldest: ClientConnection | None = leaving
-        elif silent is not None and silent.since < then:
-            oldest = silent
-        else:
-            oldest = resting or leaving or silent
-        if oldest is None:
-            return False
-        self.counts["clients", "displaced-resting" if oldest is resting else "displaced"] += 1
-        if oldest is resting:
-            oldest.close()
-        else:
-            oldest.abort()
-        self._forget(oldest)
-        return True
-
-    def _forget(self, connection: ClientConnection) -> None:
-        self._connections.discard(connection)
-        self.busy(connection)
-
-    def busy(self, connection: ClientConnection) -> None:
-        self._silent.pop(connection, None)
-        self._resting[connection.rank].pop(connection, None)
-
-    def rests(self, connection: ClientConnection) -> None:
-        if connection in self._connections:
-            self._resting[connection.rank][connection] = None
+        def full() -> bytes:
+            return b"-BUSY %d\r\n" % self.come_again()
 
-    def leaving(self, connection: ClientConnection) -> None:
-        self.busy(connection)
-        self._leaving[connection] = None
-
-    def left(self, connection: ClientConnection) -> None:
-        self._forget(connection)
-        self._leaving.pop(connection, None)
-
-    def _look(self) -> None:
-        """Let go of who asks nothing: judged by whole commands, as bytes alone may trickle for ever."""
-        now = asyncio.get_running_loop().time()
-        for connection in list(self._silent):
-            if now - connection.since < _SILENCE:
-                break
-            self._let_go(connection)
-        for of in self._resting:
-            for connection in list(of):
-                if now - connection.since < _SILENCE:
-                    break
-                if connection.halfway or now - connection.since >= _IDLE:
-                    self._let_go(connection)
-        for connection in list(self._leaving):
-            if now - connection.ending < LINGER:
-                break
-            connection.abort()  # it does not read its last answers
-        self._look_timer = None
-        if self._connections or self._leaving:
-            self._look_timer = asyncio.get_running_loop().call_later(_LOOK, self._look)
-
-    def _let_go(self, connection: ClientConnection) -> None:
-        self.busy(connection)
-        what = "halfway" if connection.halfway else "idle" if connection.greeted else "silent"
-        self.counts["clients", what] += 1
-        if connection.halfway:
-            connection.refuse("Protocol error: a command was not finished in time")
-        else:
-            connection.close()
-
-    def stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        self.listen_with(lambda: ClientConnection(self), full, host, port)
 
     def close_idle(self) -> None:
-        for connection in list(self._connections):
-            connection.close()
+        self.close_each(ClientConnection.close)
 
     def close(self) -> None:
         self.close_idle()
@@ -403,14 +429,23 @@
             self._log_in(args, connection, self.access)
             connection.answer(slot, b"+OK\r\n")
         elif command == b"ENQUEUE":
+            if self.keeper.sheds and self._pressed(connection):
+                connection.answer(slot, b"-BUSY %d\r\n" % self.come_again())
+                return
             submission = self._submission(args, connection, slot)
             connection.handed_in += 1
             self._submit(submission)
         else:
             raise BadRequest(f"unknown command '{_shown(args[0])}'")
 
-    @staticmethod
-    def _log_in(args: list[bytes], connection: ClientConnection, access: Access) -> None:
+    def _pressed(self, connection: ClientConnection) -> bool:
+        """More want to be heard than can be: answered at once, as the core could not do in time."""
+        if not self.keeper.crowd.pressed(self.keeper.now(), connection.woken):
+            return False
+        self.counts["clients", "crowded"] += 1
+        return True
+
+    def _log_in(self, args: list[bytes], connection: ClientConnection, access: Access) -> None:
         if not access.users:
             raise BadRequest("AUTH called without any users configured")
         if len(args) != 3:
@@ -419,6 +454,9 @@
         if tenant is None:
             connection.tenant = ""
             raise BadRequest("invalid username-password pair", "WRONGPASS")
+        if self.seats.log_in(connection, args[1].decode("utf-8", "replace")) is not None:
+            self.counts["clients", "turned-away-user-full"] += 1
+            raise BadRequest("max number of connections of this user reached", "MAXCLIENTS")
         connection.tenant = tenant
 
     def _submission(self, args: list[bytes], connection: ClientConnection, slot: Slot) -> Submission:
@@ -441,7 +479,7 @@
         key = _token(pairs[b"k"], "k") if b"k" in pairs else ""
 
         def answer(what: Answer) -> None:
-            connection.answer(slot, _reply(what))
+            connection.answer(slot, self._reply(what))
 
         return Submission(
             msg_id,
@@ -456,13 +494,17 @@
             connection.tenant or DEFAULT,
         )
 
-
-def _reply(answer: Answer) -> bytes:
-    if isinstance(answer, Taken) or answer.status is Status.DELIVERED:
-        return b"+OK\r\n"
-    if isinstance(answer, End) and answer.status is Status.DEFERRED:
-        return b"-BUSY %d\r\n" % answer.again_ms if answer.again_ms > 0 else b"-BUSY\r\n"
-    return b"-ERR undeliverable\r\n"
+    def _reply(self, answer: Answer) -> bytes:
+        if isinstance(answer, Taken) or answer.status is Status.DELIVERED:
+            if self.keeper.sheds:
+                self.keeper.crowd.served(self.keeper.now())
+            return b"+OK\r\n"
+        if answer.status is Status.DEFERRED:
+            again = answer.again_ms
+            if again <= 0 and self.keeper.sheds:  # no room: nobody said when there will be
+                again = self.come_again()
+            return b"-BUSY %d\r\n" % again if again > 0 else b"-BUSY\r\n"
+        return b"-ERR undeliverable\r\n"
 
 
 def _shown(text: bytes) -> str:
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -34,6 +34,7 @@
 log = logging.getLogger("mountgauge.sender")
 
 _NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+_AT_ONCE = 64  # new messages that the module decides on in one turn
 _ASK_AGAIN_MS = 250
 _GRACE = 0.1  # s past its time after which a message that the module still holds is withdrawn from it
 _KNOWN_FOR = 600.0  # s after it was last listed for which a destination still counts as one that exists
@@ -190,6 +191,9 @@
         for one in ready:
             if not isinstance(one, Submission):
                 actions += self._decide(one, now)
+            elif len(fresh) >= _AT_ONCE:  # a crowd: what else waits for the loop goes first
+                self._ready.append(one)
+                self._soon()
             elif self.numbers.get(one.id) in fresh:
                 # The same id twice in one turn: whether the first is taken on shows at the turn's end.
                 self._ready.append(one)
--- /dev/null
+++ b/mountgauge/holding/descriptors.py
@@ -0,0 +1,40 @@
+"""The descriptors that the process may have: raised at the start, compared by `check`."""
+
+from __future__ import annotations
+
+import resource
+
+SPARE = 48  # the loop, the log, the journal, discovery, notices, status, listeners and the one kept back
+
+
+def limits() -> tuple[int, int]:
+    """The soft and the hard limit of this process."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)
+
+
+def shortfall(wanted: int, hard: int) -> str | None:
+    """One line on what to raise where the hard limit is too low, else None."""
+    if hard == resource.RLIM_INFINITY or wanted <= hard:
+        return None
+    return (
+        f"limits.sockets: {wanted} descriptors are wanted, this process may have {hard}: "
+        f"raise the hard limit (ulimit -Hn, LimitNOFILE=) or lower it"
+    )
+
+
+def raise_soft(wanted: int) -> int:
+    """Raise the soft limit as far as the hard one allows; returns what the process may have now."""
+    soft, hard = limits()
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return wanted
+    target = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    if target > soft:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (target, hard))
+    return target
+
+
+def shares(sockets: int, workers: int) -> tuple[int, int]:
+    """How many connections clients and next hops may have; with the spare ones they are all of `sockets`."""
+    usable = max(8, sockets - SPARE)
+    hops = max(4, min(usable // 3, 6 * workers))
+    return max(4, usable - hops), hops
--- /dev/null
+++ b/mountgauge/holding/keeper.py
@@ -0,0 +1,217 @@
+"""Holds the clients' connections of all fronts: one epoll of their own, one timer, one queue of turns.
+
+The event loop sees two things: the epoll, readable when any connection has something to say, and the next
+slot of the wheel. So an idle connection costs the loop nothing, and a crowd is heard in batches between which
+the loop serves next hops, journal and notices as ever.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import select
+import socket
+from collections import Counter
+from typing import Protocol
+
+from mountgauge.holding.budget import Budget
+from mountgauge.holding.line import Line
+from mountgauge.holding.seats import Shared
+from mountgauge.holding.settings import ClientSettings, Times
+from mountgauge.holding.turns import Crowd, Spread, Turns
+from mountgauge.holding.wheel import FAR, Wheel
+
+BATCH = 64  # connections that one turn of the loop hears, lets go or cleans up after
+_FREEZE = 512  # connections more or fewer after which the collector is told of them
+
+
+class Kept(Protocol):
+    """A connection as the keeper sees it: in the wheel by its first two."""
+
+    due_at: float
+    tick: int
+
+    def on_due(self, now: float) -> None:
+        """Its deadline has passed."""
+
+    def more(self) -> None:
+        """Its turn has come to have more commands read."""
+
+    def abort(self) -> None: ...
+
+
+class Keeper:
+    """Made and used in one event loop; `close` gives everything back."""
+
+    def __init__(self, settings: ClientSettings) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.shared = Shared(settings.most)
+        self.wheel = Wheel[Kept](self._loop.time())
+        self.turns = Turns[Kept]()
+        self.crowd, self.spread = Crowd(settings.patience), Spread()
+        self.half = Budget[Kept](settings.buffers)  # bytes of commands that are not whole
+        self.unread = Budget[Line](settings.buffers)  # bytes of answers that are not read
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self._lines: dict[int, Line] = {}
+        self._ended: dict[Line, None] = {}
+        self._epoll: select.epoll | None = None
+        self._again: asyncio.Handle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._wake_at = FAR
+        self._frozen_at = 0  # connections
+
+    @property
+    def open(self) -> int:
+        return len(self._lines)
+
+    @property
+    def sheds(self) -> bool:
+        """Whether a crowd may be turned away: not on the platform."""
+        return self.crowd.patience_s < FAR
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    # Connections
+
+    def adopt(self, sock: socket.socket, protocol: asyncio.BufferedProtocol, times: Times) -> Line:
+        """Hold an accepted connection from now on."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if times.keepalive:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, times.keepalive)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, times.keepalive // 4))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4)
+        if times.user_timeout:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, times.user_timeout * 1000)
+        if self._epoll is None:
+            self._epoll = select.epoll()
+            self._loop.add_reader(self._epoll.fileno(), self.turn)
+        fd = sock.detach()
+        line = Line(self, fd, protocol)
+        self._lines[fd] = line
+        if self.sheds and abs(len(self._lines) - self._frozen_at) >= _FREEZE:
+            # Connections that stay are not walked again by the collector, which would stop all else for long.
+            self._frozen_at = len(self._lines)
+            gc.collect()
+            gc.freeze()
+        protocol.connection_made(line)
+        return line
+
+    def watch(self, fd: int, before: int, mask: int) -> None:
+        if self._epoll is None:
+            return
+        if not mask:
+            self._epoll.unregister(fd)
+        elif before:
+            self._epoll.modify(fd, mask)
+        else:
+            self._epoll.register(fd, mask)
+
+    def owes(self, line: Line, count: int) -> None:
+        """Answers that wait in memory for their reader; past the bound the one who owes most goes."""
+        most = self.unread.hold(line, count)
+        if most is not None:
+            self.counts["clients", "unread"] += 1
+            most.abort()
+
+    def holds(self, connection: Kept, count: int) -> Kept | None:
+        """Bytes of a command that is not whole; returns who has to go for it."""
+        return self.half.hold(connection, count)
+
+    def ended(self, line: Line) -> None:
+        if line not in self._ended:
+            self._ended[line] = None
+            self._soon()
+
+    def gone(self, line: Line) -> None:
+        del self._lines[line.fd]
+        self.unread.hold(line, 0)
+
+    # Turns
+
+    def wait(self, connection: Kept) -> None:
+        """It has more to say than one turn hears."""
+        self.turns.wait(connection)
+        self._soon()
+
+    def forget(self, connection: Kept) -> None:
+        """It is closed: nothing is left of it here."""
+        self.wheel.disarm(connection)
+        self.turns.drop(connection)
+        self.half.hold(connection, 0)
+
+    def _soon(self) -> None:
+        if self._again is None:
+            self._again = self._loop.call_soon(self._turn_again)
+
+    def _turn_again(self) -> None:
+        self._again = None
+        self.turn()
+
+    def turn(self) -> None:
+        """Hear a batch, then those who wait for their next turn, then clean up after a batch."""
+        if self._epoll is not None:
+            events = self._epoll.poll(0, BATCH)
+            self.crowd.polled(len(events) == BATCH, self.now())
+            for fd, mask in events:
+                line = self._lines.get(fd)
+                if line is not None:
+                    line.on_event(mask)
+        for connection in self.turns.round(BATCH):
+            connection.more()
+        for line in list(self._ended)[:BATCH] if len(self._ended) <= BATCH else self._some_ended():
+            del self._ended[line]
+            line.done()
+        if self.turns or self._ended:
+            self._soon()
+
+    def _some_ended(self) -> list[Line]:
+        found = []
+        for line in self._ended:
+            found.append(line)
+            if len(found) == BATCH:
+                break
+        return found
+
+    # Deadlines
+
+    def arm(self, connection: Kept, when: float) -> None:
+        """`connection.on_due` comes at `when`, at most a tick late, and not at any time set before."""
+        self.wheel.arm(connection, when)
+        if when < self._wake_at:
+            self._wake(when)
+
+    def _wake(self, when: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._wake_at = when
+        self._timer = None
+        if when < FAR:
+            self._timer = self._loop.call_at(when, self._due)
+
+    def _due(self) -> None:
+        self._timer, self._wake_at = None, FAR
+        now = self.now()
+        found = self.wheel.due(now, BATCH)
+        for connection in found:
+            connection.on_due(now)
+        # A full batch: more at once, with the rest of the loop in between.
+        self._wake(now if len(found) == BATCH else max(now, self.wheel.next_at()))
+
+    def close(self) -> None:
+        """Break what is left; the process or the test ends."""
+        for line in list(self._lines.values()):
+            line.abort()
+            self._ended.pop(line, None)
+            line.done()
+        self._wake(FAR)
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+        if self._epoll is not None:
+            self._loop.remove_reader(self._epoll.fileno())
+            self._epoll.close()
+            self._epoll = None
--- /dev/null
+++ b/mountgauge/holding/vitals.py
@@ -0,0 +1,112 @@
+"""What connections cost, as this process sees it: for `status`, metrics and the state line."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from mountgauge.holding.front import Front
+from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.turn_watch import TurnWatch
+
+_ENOUGH = 50  # connections from which on a figure for each of them means something
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_bytes() -> int:
+    """Of this process; 0 where the system does not say."""
+    try:
+        with open("/proc/self/statm") as file:
+            return int(file.read().split()[1]) * _PAGE
+    except OSError:
+        return 0
+
+
+class Vitals:
+    """Samples at intervals; between two samples the last one is told."""
+
+    def __init__(self, keeper: Keeper, fronts: Mapping[str, Front[Any]], watch: TurnWatch | None) -> None:
+        self._keeper, self._fronts, self._watch = keeper, fronts, watch
+        self._before = resident_bytes()
+        self._at = time.monotonic()
+        self._wakeups, self._busy = (watch.wakeups, watch.busy) if watch else (0, 0.0)
+        self.last: dict[str, Any] = {"wakeups_per_s": 0.0, "loop_busy": 0.0, "longest_turn_ms": 0.0}
+
+    def sample(self) -> None:
+        """A new interval begins. Rates are a second's, `loop_busy` is the share of time spent in turns."""
+        if self._watch is None:
+            return
+        now = time.monotonic()
+        spent = max(1e-9, now - self._at)
+        watch = self._watch
+        self.last = {
+            "wakeups_per_s": round((watch.wakeups - self._wakeups) / spent, 1),
+            "loop_busy": round((watch.busy - self._busy) / spent, 4),
+            "longest_turn_ms": round(watch.take_recent() * 1000, 1),
+        }
+        self._at, self._wakeups, self._busy = now, watch.wakeups, watch.busy
+
+    def baseline(self) -> None:
+        """What the process has before connections come."""
+        self._before = resident_bytes()
+        if self._watch is not None:
+            self._watch.take_recent()
+            self._watch.longest = 0.0
+
+    def report(self) -> dict[str, Any]:
+        keeper, watch = self._keeper, self._watch
+        grown, open_now = resident_bytes() - self._before, keeper.open
+        counts: Counter[str] = Counter()
+        for front in self._fronts.values():
+            counts.update({what: n for (_, what), n in front.counts.items()})
+        counts.update({what: n for (_, what), n in keeper.counts.items()})
+        return {
+            "fronts": {name: front.report() for name, front in self._fronts.items()},
+            "open": open_now, "most": keeper.settings.most,
+            "bytes_per_connection": round(grown / open_now) if open_now >= _ENOUGH else None,
+            "half_bytes": keeper.half.total, "unread_bytes": keeper.unread.total,
+            "timers": keeper.wheel.armed, "timers_moved": keeper.wheel.moved, "waiting": len(keeper.turns),
+            **self.last,
+            "longest_turn_ever_ms": round(watch.longest * 1000, 1) if watch else 0.0,
+            "loop_wakeups": watch.wakeups if watch else 0,
+            "fared": dict(counts),
+        }  # fmt: skip
+
+    def state(self) -> dict[str, Any]:
+        """For the state line: short."""
+        found: dict[str, Any] = {}
+        for name, front in self._fronts.items():
+            one = front.report()
+            found |= {f"{name}_{key}": one[key] for key in ("open", "idle", "parked")}
+        return found | {"timers": self._keeper.wheel.armed} | self.last
+
+
+Point = tuple[dict[str, str], Any]
+
+
+def client_metrics(report: Mapping[str, Any]) -> list[tuple[str, str, bool, list[Point]]]:
+    """Name, unit, whether it only grows, and points with attributes: for a collector."""
+    states = [
+        ({"mountgauge.front": front, "mountgauge.state": state}, n)
+        for front, by in report["fronts"].items()
+        for state, n in by.items()
+    ]
+    fared = [({"mountgauge.fate": what}, n) for what, n in sorted(report["fared"].items())]
+    gauges: list[tuple[str, str, Any]] = [
+        ("limit", "{connection}", report["most"]),
+        ("memory", "By", report["bytes_per_connection"]),
+        ("timers", "{timer}", report["timers"]),
+        ("wakeups.rate", "{wakeup}/s", report["wakeups_per_s"]),
+        ("turn.longest", "ms", report["longest_turn_ms"]),
+    ]
+    found: list[tuple[str, str, bool, list[Point]]] = [
+        ("mountgauge.clients.connections", "{connection}", False, states),
+        ("mountgauge.clients.fared", "{connection}", True, fared),
+    ]
+    for name, unit, value in gauges:
+        if value is not None:
+            found.append((f"mountgauge.clients.{name}", unit, False, [({}, value)]))
+    return found
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -11,6 +11,8 @@
 from mountgauge.amqp.next_hops import Account
 from mountgauge.core.config import Address, Config, ConfigError, Limits, MapUpdate, Names
 from mountgauge.core.ports import NextHop
+from mountgauge.holding.descriptors import shares
+from mountgauge.holding.settings import ClientSettings, read_clients
 from mountgauge.settings_table import Table, read
 from rillspindle.interface import Entry, Readiness, Settings
 
@@ -59,6 +61,7 @@
     otlp: Otlp | None
     access: Access
     tenants: TenantFile | None = None
+    clients: ClientSettings | None = None
 
 
 def load(path: Path) -> Operator:
@@ -126,11 +129,15 @@
         names=Names(tuple(grade["name"] for grade in settings["grades"]), (), (_KIND,)),
         conn_idle=settings["ceilings"]["connIdle"],
     )
+    clients = None
+    if (table := top.table("clients")) is not None:
+        room, _ = shares(config.limits.sockets, config.rules.workers)
+        clients = read_clients(table, room, config.limits.memory_bytes)
     for table in (top, limits, resp, status):
         if table is not None:
             table.done()
     return Operator(
-        path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants
+        path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants, clients
     )  # fmt: skip
 
 
--- a/mountgauge/otlp.py
+++ b/mountgauge/otlp.py
@@ -10,7 +10,7 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,6 +22,9 @@
 
 log = logging.getLogger("mountgauge.otlp")
 
+# Name, unit, whether it only grows, and the points with their attributes.
+Measured = tuple[str, str, bool, list[tuple[dict[str, str], Any]]]
+
 _LIMIT = 3.0  # s for one export
 _CUMULATIVE = 2
 
@@ -107,7 +110,12 @@
 
 
 def encode(
-    instance: str, snapshot: Snapshot, start: int, now: int, tenants: Mapping[str, Any] | None = None
+    instance: str,
+    snapshot: Snapshot,
+    start: int,
+    now: int,
+    tenants: Mapping[str, Any] | None = None,
+    measured: Sequence[Measured] = (),
 ) -> bytes:
     """An ExportMetricsServiceRequest in its JSON form. Integers of 64 bits are text there."""
     ends = {status: n for (kind, status), n in snapshot.counts.items() if kind == "end"}
@@ -119,6 +127,7 @@
         _gauge("mountgauge.slots.used", "{slot}", now, snapshot.slots_used),
         _gauge("mountgauge.slots.limit", "{slot}", now, snapshot.slots),
         *(tenant_metrics(tenants, start, now) if tenants else ()),
+        *(_points(name, unit, start, now, points, grows) for name, unit, grows, points in measured),
     ]
     resource = [
         {"key": "service.name", "value": {"stringValue": "mountgauge"}},
@@ -145,10 +154,12 @@
         instance: str,
         snapshot: Callable[[], Snapshot],
         tenants: Callable[[], Mapping[str, Any]] = dict,
+        measured: Callable[[], Sequence[Measured]] = tuple,
     ) -> None:
         self._client = Client(host, port)
         self._host, self._path, self._interval = f"{host}:{port}", path, interval
         self._instance, self._snapshot, self._tenants = instance, snapshot, tenants
+        self._measured = measured
         self._start = time.time_ns()
         self._task: asyncio.Task[None] | None = None
         self.exported = self.failed = 0
@@ -167,7 +178,9 @@
             await self.export()
 
     async def export(self) -> bool:
-        body = encode(self._instance, self._snapshot(), self._start, time.time_ns(), self._tenants())
+        body = encode(
+            self._instance, self._snapshot(), self._start, time.time_ns(), self._tenants(), self._measured()
+        )
         try:
             answer = await self._client.exchange(
                 request("POST", self._path, self._host, {"Content-Type": "application/json"}, body), _LIMIT
--- a/mountgauge/runtime.py
+++ b/mountgauge/runtime.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from mountgauge.amqp.clients import AmqpClients
@@ -19,17 +20,23 @@
 from mountgauge.core.ports import End, MapSource, SenderSide
 from mountgauge.core.sender import Sender
 from mountgauge.file_map import FileMap
+from mountgauge.holding.descriptors import raise_soft, shares
+from mountgauge.holding.front import Front
+from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.settings import default_settings, platform_settings
+from mountgauge.holding.vitals import Vitals, client_metrics
 from mountgauge.log import kv
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
 from mountgauge.operator_file import Hops, Operator, load
-from mountgauge.otlp import Exporter, Snapshot
+from mountgauge.otlp import Exporter, Measured, Snapshot
 from mountgauge.router import Router
 from mountgauge.status import StatusServer
 from mountgauge.transport_map import TransportMap
 from rillspindle import Policy
 
 if TYPE_CHECKING:
+    from mountgauge.holding.turn_watch import TurnWatch
     from mountgauge.tenants.service import Tenants
 
 log = logging.getLogger("mountgauge.run")
@@ -38,7 +45,6 @@
 _HAND_OVER = 2.2  # s after SIGTERM in which clients may still come
 _LAST_ATTEMPT = 3.0  # s after SIGTERM from which nothing new is sent
 _LEAVE = 3.35  # s after SIGTERM at which what is still out is left to the journal
-_SPARE_SOCKETS = 48  # the loop, the log, the journal, discovery, notices
 _WATCH_MOST = 60.0
 _MOST_PUBLISHERS = 64  # AMQP connections: each may hold a megabyte of bodies under way
 _STATE_EVERY = 5.0  # s
@@ -86,14 +92,15 @@
 
 
 def socket_shares(sockets: int, workers: int) -> tuple[int, int]:
-    """How many connections clients and next hops may have; together with the spare ones under the limit."""
-    usable = max(8, sockets - _SPARE_SOCKETS)
-    hops = max(4, min(usable // 3, 6 * workers))
-    return max(4, min(512, usable - hops)), hops
+    """How many connections clients and next hops may have, without `[clients]`."""
+    clients, hops = shares(sockets, workers)
+    return min(512, clients), hops
 
 
 class Runtime:
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+    def __init__(
+        self, config: Config, operator: Operator | None = None, watch: TurnWatch | None = None
+    ) -> None:
         self.config, self.operator = config, operator
         rules, names = config.rules, config.names
         notices_at = config.discovery if operator is None else operator.notices
@@ -114,11 +121,16 @@
             wait = min(_WATCH_MOST, rules.ask_within)
             deadlines = [grade.deadline for grade in rules.grades]
             self.map = TransportMap(self.sender, config.discovery, names, wait)
-            front = Clients(self.sender.submit, names.grades, clients, deadlines=deadlines)
+            self.keeper = Keeper(platform_settings(clients))
+            front = Clients(
+                self.sender.submit, names.grades, clients, deadlines=deadlines, keeper=self.keeper
+            )
             self._listen(front, config.listen)
         else:
             self._operated(operator, http, fronts, clients, hops)
         self.sender.next_hops, self.sender.map = self.next_hops, self.map
+        named = {"amqp" if isinstance(one, AmqpClients) else "resp": one for one, _ in self.listeners}
+        self.vitals = Vitals(self.keeper, {n: f for n, f in named.items() if isinstance(f, Front)}, watch)
 
     def reload(self) -> None:
         """SIGHUP: read the file again. What may change while it runs moves; nothing is closed for it."""
@@ -153,6 +165,8 @@
         self.map.snapshot()
         both = operator.config, old.config
         needs = [name for name in ("resp", "status", "otlp") if getattr(operator, name) != getattr(old, name)]
+        if operator.clients != old.clients:
+            needs.append("clients")
         needs += [n for n in ("state", "limits", "settings") if getattr(both[0], n) != getattr(both[1], n)]
         if getattr(operator.amqp, "listen", None) != getattr(old.amqp, "listen", None):
             needs.append("amqp.listen")
@@ -184,21 +198,27 @@
 
         self.map = FileMap(self.sender, operator, learn)
         share = clients // ((operator.resp is not None) + (operator.amqp is not None))
+        settings = operator.clients or default_settings(share, _MOST_PUBLISHERS)
+        # The system may give fewer descriptors than the file counts on: next hops and the rest keep theirs.
+        room, _ = shares(self.config.limits.sockets, rules.workers)
+        self.keeper = Keeper(replace(settings, most=min(settings.most, room)))
         if operator.resp is not None:
             deadlines = [grade.deadline for grade in rules.grades]
             resp = Clients(
-                self.sender.submit, names.grades, share, deadlines=deadlines, access=operator.access
-            )
+                self.sender.submit, names.grades, settings.most_resp, deadlines=deadlines,
+                access=operator.access, keeper=self.keeper,
+            )  # fmt: skip
             self._listen(resp, operator.resp)
         if operator.amqp is not None:
             front = AmqpClients(
                 self.sender.submit,
                 names.grades,
                 rules.grades,
-                min(share, _MOST_PUBLISHERS),
+                settings.most_amqp,
                 operator.access,
                 operator.amqp.heartbeat,
                 operator.amqp.exchange,
+                self.keeper,
             )
             fronts["amqp"] = front
             self._listen(front, operator.amqp.listen)
@@ -214,20 +234,24 @@
         if (otlp := operator.otlp) is not None:
             self.exporter = Exporter(
                 otlp.host, otlp.port, otlp.path, otlp.interval, self.config.name, self.snapshot,
-                self._tenant_metrics,
+                self._tenant_metrics, self._client_metrics,
             )  # fmt: skip
 
     def snapshot(self) -> Snapshot:
         sender = self.sender
         counts = sender.counts.copy()
         for listener, _ in self.listeners:
-            if isinstance(listener, Clients):
+            if isinstance(listener, Front):
                 counts.update(listener.counts)
+        counts.update(self.keeper.counts)
         return Snapshot(counts, len(sender.held), sender.calls, sender.rules.workers)
 
     def _tenant_metrics(self) -> dict[str, Any]:
         return {} if self.tenants is None else self.tenants.metrics()
 
+    def _client_metrics(self) -> list[Measured]:
+        return client_metrics(self.vitals.report())
+
     def report(self) -> Mapping[str, Any]:
         now = self.snapshot()
         found = {
@@ -238,6 +262,8 @@
         }  # fmt: skip
         if self.tenants is not None:
             found["tenants"] = self.tenants.summary()
+        if self.operator is not None:
+            found["clients"] = self.vitals.report()
         return found
 
     async def start(self) -> None:
@@ -250,6 +276,7 @@
             await self.status.listen(self.operator.status)
         if self.exporter is not None:
             self.exporter.start()
+        self.vitals.baseline()
 
     async def stop(self) -> None:
         """Answer through the hand-over, then let go of the clients, finish what is out, leave the rest."""
@@ -279,6 +306,7 @@
             self.exporter.close()
         if self.status is not None:
             self.status.close()
+        self.keeper.close()
         self.map.close()
         self.notices.close()
         self.next_hops.close()
@@ -293,19 +321,27 @@
     while True:
         await asyncio.sleep(_STATE_EVERY)
         now = runtime.snapshot()
-        new = {
+        new: dict[str, Any] = {
             f"{kind}.{what}" if what else kind: n for (kind, what), n in sorted((now.counts - before).items())
         }
         before = now.counts
+        if runtime.operator is not None:
+            runtime.vitals.sample()
+            new |= runtime.vitals.state()
         log.info("state", extra=kv(held=now.held, slots_used=now.slots_used, **new))
 
 
-async def serve(config: Config, operator: Operator | None = None) -> None:
+async def serve(
+    config: Config, operator: Operator | None = None, watch: TurnWatch | None = None
+) -> None:
     loop = asyncio.get_running_loop()
     asked = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
-    runtime = Runtime(config, operator)
+    if operator is not None and (had := raise_soft(config.limits.sockets)) < config.limits.sockets:
+        log.warning("descriptors", extra=kv(wanted=config.limits.sockets, had=had))
+        config = replace(config, limits=replace(config.limits, sockets=had))
+    runtime = Runtime(config, operator, watch)
     loop.add_signal_handler(signal.SIGHUP, runtime.reload)
     await runtime.start()
     # What lives as long as the process is not walked again; the rest is small enough for short pauses.
--- /dev/null
+++ b/tests/holding/test_states.py
@@ -0,0 +1,123 @@
+"""A connection's states and its one deadline against a model, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mountgauge.clients import ClientConnection, Clients
+from mountgauge.core.ports import Submission, Taken
+from mountgauge.holding.keeper import Keeper, Kept
+from mountgauge.holding.seats import Line
+from mountgauge.holding.settings import ClientSettings, Times, platform_settings
+from mountgauge.holding.wheel import Wheel
+from tests.helper import Transport, receive
+from tests.test_clients import enqueue
+
+TIMES = Times(handshake=2.0, half=3.0, idle=5.0, unread=4.0)
+LATE = 0.5 + 1e-6  # two ticks
+
+
+class VirtualKeeper(Keeper):
+    """Its clock is moved by the test, and its wheel too."""
+
+    at = 100.0
+
+    def __init__(self, settings: ClientSettings) -> None:
+        super().__init__(settings)
+        self.wheel = Wheel[Kept](self.at)
+
+    def now(self) -> float:
+        return self.at
+
+    def _wake(self, when: float) -> None: ...
+
+    def pass_time(self, seconds: float) -> None:
+        self.at += seconds
+        for _ in range(8):
+            for connection in self.wheel.due(self.at, 9):
+                connection.on_due(self.at)
+        while self.turns:
+            self.turn()
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["whole", "half", "more", "more", "rest", "answer", "choke", "flow", "pass", "pass"]),
+        st.integers(1, 30),
+    ),
+    max_size=40,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(STEPS)
+def test_who_leaves_nothing_undone_stays_and_who_does_goes_in_time(steps: list[tuple[str, int]]) -> None:
+    async def main() -> None:
+        taken: list[Submission] = []
+        keeper = VirtualKeeper(replace(platform_settings(9), resp=TIMES))
+        front, transport = Clients(taken.append, ("note",), 9, keeper=keeper), Transport()
+        connection = ClientConnection(front)
+        connection.connection_made(transport)
+        greeted, pending, rested = False, b"", keeper.at  # the rest of a command that has begun
+        begun, choked, answered = keeper.at, 0.0, 0
+        for number, (step, pick) in enumerate(steps):
+            hears = transport.reading and not transport.closing and not connection.closing
+            if step == "whole" and hears and not pending:
+                receive(connection, enqueue(b"m%d" % number))
+                greeted = True
+            elif step == "half" and hears and not pending:
+                data = enqueue(b"m%d" % number)
+                receive(connection, data[:pick])
+                pending, begun = data[pick:], keeper.at
+            elif step == "more" and hears and len(pending) > 1:
+                receive(connection, pending[:1])  # a trickle is no progress
+                pending = pending[1:]
+            elif step == "rest" and hears and pending:
+                receive(connection, pending)
+                pending, greeted = b"", True
+            elif step == "answer" and answered < len(taken):
+                answered += 1
+                if answered == len(taken):
+                    rested = keeper.at
+                taken[answered - 1].answer(Taken())
+            elif step == "choke" and not choked and not connection.closing:
+                choked = keeper.at
+                connection.pause_writing()
+            elif step == "flow" and choked:
+                choked = 0.0
+                connection.resume_writing()
+            elif step == "pass":
+                was = keeper.at
+                keeper.pass_time(pick / 10)
+                asked = answered < len(taken)
+                # What must have ended it, and by when.
+                limits = []
+                if choked:
+                    limits.append(choked + TIMES.unread)
+                elif not asked and pending and greeted:
+                    limits.append(max(begun, rested if begun < rested else 0.0) + TIMES.half)
+                elif not asked and not greeted:
+                    limits.append(rested + TIMES.handshake)
+                elif not asked:
+                    limits.append(rested + TIMES.idle)
+                if connection.closing:
+                    assert any(limit <= keeper.at + 1e-9 for limit in limits), (limits, keeper.at)
+                    break
+                late = [keeper.at - limit for limit in limits if not (pending and greeted)]
+                assert max(late, default=0.0) < LATE + (keeper.at - was)
+            idle = answered == len(taken)
+            assert connection.parked == (idle and not pending) or connection.closing
+            assert not keeper.half.total or pending
+            if not connection.closing:
+                wanted = Line.BUSY if not idle else Line.RESTING if greeted else Line.SILENT
+                assert min(connection.line, Line.RESTING) == wanted or connection.line == wanted
+        connection.connection_lost(None)
+        # Nothing of it is left with the holder.
+        assert not (keeper.wheel.armed or keeper.half.total or keeper.turns or front.seats.members)
+        assert not keeper.shared.open
+
+    asyncio.run(main())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -95,7 +95,8 @@
 
     async def main() -> None:
         taken: list[Submission] = []
-        connection, transport = ClientConnection(Clients(taken.append, ("note",), 9)), Transport()
+        front, transport = Clients(taken.append, ("note",), 9), Transport()
+        connection = ClientConnection(front)
         connection.connection_made(transport)
         waiting: deque[tuple[str, bytes | None]] = deque()  # by id, with the answer once it is known
         asked, closing, choked, last = 0, False, False, 0
@@ -127,11 +128,13 @@
             elif step == "close" and not closing and len(waiting) < 60:
                 closing = True
                 connection.close()
+            while front.keeper.turns:
+                front.keeper.turn()
             while waiting and waiting[0][1] is not None:
                 wanted += waiting.popleft()[1] or b""
             assert bytes(transport.written) == wanted
             assert transport.closing == (closing and not waiting)
             assert len(taken) - last <= 64  # the bound on what one connection may have waiting
-            assert transport.reading == (not choked and len(taken) - last < 64) or closing
+            assert transport.reading == (not choked and len(waiting) < 64) or closing
 
     asyncio.run(main())
