--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build dev lint check test run fleet
+.PHONY: build dev lint check test run fleet idle
 PY = .venv-dev/bin/python
 
 build:            ## what deploy/balancer.toml says: .venv with the pinned requirements
@@ -26,3 +26,9 @@
 	  && cp requirements-fleet.txt .venv-fleet/installed.txt)
 	@trap 'kill 0' EXIT; .venv-fleet/bin/python example/partner.py & \
 	  .venv-fleet/bin/python -m mountgauge agent example/fleet/agent.toml
+
+idle:             ## what idle connections cost, measured: 3,000 of them
+	@cmp -s requirements-bench.txt .venv-bench/installed.txt || (rm -rf .venv-bench && python3 -m venv .venv-bench \
+	  && .venv-bench/bin/pip -q install -r requirements-bench.txt \
+	  && cp requirements-bench.txt .venv-bench/installed.txt)
+	.venv-bench/bin/python -m benchmarks.idle --quick
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -16,6 +16,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -260,6 +261,13 @@
             found["wake_busy_p99_s"] = round(during["delivered_p99"], 4)
             found["wake_busy_ok_p99_s"] = round(during["ok_p99"], 4)
             found["wake_busy_refused"] = during["refused"]
+            if not quick:  # all in the same instant: how many a second one core hears
+                await asyncio.sleep(2)
+                orders = [{"do": "wake", "within": 0.0, "name": f"x{n}", "seed": n} for n in range(LOADS)]
+                burst = await loads.order(orders)
+                longest = max(one["longest"] for one in burst)
+                found["burst_longest_s"] = round(longest, 3)
+                found["burst_heard_per_s"] = round(sum(one["asked"] for one in burst) / max(1e-3, longest))
             # Half are reset in the same instant
             was = (await sender.clients())["open"]
             resetting = asyncio.create_task(loads.all(do="reset", share=0.5))
@@ -282,6 +290,12 @@
             found["descriptors_left_over"] = sender.descriptors() - fds
             found["rss_left_over"] = _rss(sender.pid) - rss
             again_alone = await busy.run(compare)
+            # What did not go back to the system is used again. These are still held at SIGHUP and SIGTERM.
+            await loads.open(kept)
+            found["second_ramp_bytes"] = round((_rss(sender.pid) - rss) / max(1, kept))
+            os.kill(sender.pid, signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            found["reload_closed"] = kept + BUSY - (await sender.clients())["open"]
             base = (alone["ok_p99"] + again_alone["ok_p99"]) / 2
             found["busy_p99_s"] = [round(x["ok_p99"], 5) for x in (alone, held, again_alone)]
             found["busy_p99_ratio"] = round(held["ok_p99"] / base, 3)
@@ -289,12 +303,12 @@
             found["busy_lost"] = busy.lost
             found["fared"] = now["fared"]
         finally:
-            await loads.stop()
             if process.returncode is None:
                 process.terminate()
             began = time.monotonic()
             found["exit_code"] = await process.wait()
             found["stop_s"] = round(time.monotonic() - began, 2)
+            await loads.stop()
             busy.server.close()
             if found["exit_code"] or "Traceback" in (log := (folder / "log").read_text()):
                 print(log[-3000:], file=sys.stderr)
@@ -307,7 +321,7 @@
     def most(key: str, limit: float) -> tuple[float, bool]:
         return limit, found[key] <= limit
 
-    by = {
+    by: dict[str, tuple[float, bool]] = {
         "kept": (found["target"], found["kept"] >= found["target"]),
         "bytes_per_connection": most("bytes_per_connection", AIMS[found["front"]]),
         "idle_cpu_share": most("idle_cpu_share", 0.02),
@@ -321,6 +335,9 @@
         "exit_code": most("exit_code", 0),
         "stop_s": most("stop_s", 3.7),
     }
+    # It includes what the wake-up left.
+    by["second_ramp_bytes"] = most("second_ramp_bytes", AIMS[found["front"]])
+    by["reload_closed"] = most("reload_closed", 0)
     if found["front"] == "resp":  # none for an idle one: what the loop does anyway, and some scatter
         limit = found["wakeups_per_s_none"] * 1.1 + 2
         by["wakeups_per_s"] = (round(limit, 1), found["wakeups_per_s"] <= limit)
--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -17,7 +17,7 @@
 from mountgauge.access import DEFAULT, Access, user_of
 from mountgauge.amqp import codec
 from mountgauge.amqp.codec import AmqpError, Content, Method
-from mountgauge.amqp.link import FRAME_MAX, Link, State
+from mountgauge.amqp.link import FRAME_MAX, RECEIVE, Link, State
 from mountgauge.core.ports import Answer, End, Status, Submission, Taken
 from mountgauge.holding.front import Front
 from mountgauge.holding.keeper import Keeper
@@ -32,6 +32,7 @@
 _MOST_UNSETTLED = 4096  # publishes of one connection that wait for their end
 _QUIET = 30.0  # s without a publish after which a connection may go for another's sake
 _QUANTUM = 24  # frames that one connection may have read in a row: eight messages
+_BEAT = codec.frame(codec.HEARTBEAT, 0, b"")
 NO_ROUTE, NO_CONSUMERS = 312, 313
 
 
@@ -124,6 +125,9 @@
             super().on_due(now)
 
     def buffer_updated(self, nbytes: int) -> None:
+        if nbytes == len(_BEAT) and self._drain is None and not self.halfway and RECEIVE[:nbytes] == _BEAT:
+            self._read_at = self._front.keeper.now()  # nearly all that an idle one ever says
+            return
         super().buffer_updated(nbytes)
         self._keep()
 
@@ -316,9 +320,14 @@
         if content.method.args["immediate"]:
             raise AmqpError(540, "NOT_IMPLEMENTED - immediate", True, codec.BASIC, 40)
         found.tag += 1
+        front = self._front
+        if not self.unsettled:
+            self.woken = front.keeper.now() - self.since >= RESTED
+        if front.keeper.sheds and front.pressed(self):
+            self._tell(found, found.tag, content, End(Status.DEFERRED, front.come_again()))
+            return
         if not self.unsettled:
-            self.woken = self._front.keeper.now() - self.since >= RESTED
-            self._front.stand(self, Line.BUSY)
+            front.stand(self, Line.BUSY)
         self.unsettled += 1
         self._front.publish(Waiter(self, found, found.tag, content))
 
@@ -327,31 +336,28 @@
         if not self.unsettled and self.state is State.READY:
             self._front.stand(self, Line.RESTING)
             self.arm(self.deadline)
-        channel, content = waiter.channel, waiter.content
+        self._tell(waiter.channel, waiter.tag, waiter.content, end, text)
+
+    def _tell(self, channel: Channel, tag: int, content: Content, end: End, text: str = "") -> None:
         if not channel.open or self.state is not State.READY:
             return
         if end.status is Status.DELIVERED:
             if channel.confirm:
-                self.send_method(channel.number, "basic.ack", tag=waiter.tag)
+                self.send(codec.ack(channel.number, tag))
             return
+        out = b""
         if channel.confirm or content.method.args["mandatory"]:
             code = NO_CONSUMERS if end.status is Status.DEFERRED else NO_ROUTE
             if not text:
                 text = end.status.value.upper()
                 text += f" again_ms={end.again_ms}" if end.again_ms > 0 else ""
-            self.send(
-                codec.method(
-                    channel.number,
-                    "basic.return",
-                    code=code,
-                    text=text,
-                    exchange=content.method.args["exchange"],
-                    routing_key=content.method.args["routing_key"],
-                )
-                + codec.content(channel.number, content.properties, bytes(content.body), self.frame_max)
-            )
+            args = content.method.args
+            out = codec.returned(channel.number, code, text, args["exchange"], args["routing_key"])
+            out += codec.content_as_it_came(channel.number, content.head, bytes(content.body), self.frame_max)
         if channel.confirm:
-            self.send_method(channel.number, "basic.nack", tag=waiter.tag)
+            out += codec.nack(channel.number, tag)
+        if out:
+            self.send(out)
 
     @property
     def answered(self) -> bool:
@@ -405,19 +411,19 @@
     # Messages
 
     def publish(self, waiter: Waiter) -> None:
+        if waiter.connection.unsettled > _MOST_UNSETTLED:
+            waiter.connection.settle(waiter, self._spread(End(Status.DEFERRED)))
+            return
         try:
             submission = self._submission(waiter)
         except ValueError as error:
             waiter.connection.settle(waiter, End(Status.UNDELIVERABLE), f"UNDELIVERABLE - {error}")
             return
-        if waiter.connection.unsettled > _MOST_UNSETTLED or self._pressed(waiter.connection):
-            waiter.connection.settle(waiter, self._spread(End(Status.DEFERRED)))
-            return
         self._submit(submission)
 
-    def _pressed(self, connection: AmqpConnection) -> bool:
+    def pressed(self, connection: AmqpConnection) -> bool:
         """More want to be heard than can be: answered at once, as the core could not do in time."""
-        if not self.keeper.sheds or not self.keeper.crowd.pressed(self.keeper.now(), connection.woken):
+        if not self.keeper.crowd.pressed(self.keeper.now(), connection.woken):
             return False
         self.counts["clients", "crowded"] += 1
         return True
--- a/mountgauge/amqp/codec.py
+++ b/mountgauge/amqp/codec.py
@@ -253,7 +253,48 @@
     method_id: int
 
 
+_PUBLISH = b"\x00\x3c\x00\x28"
+_SETTLED = struct.Struct(">BHIHHQBB")
+_HEAD = struct.Struct(">HHQH")
+
+
+def ack(channel: int, tag: int) -> bytes:
+    """`basic.ack` of one message: told so often that it is worth its own way."""
+    return _SETTLED.pack(METHOD, channel, 13, 60, 80, tag, 0, FRAME_END)
+
+
+def nack(channel: int, tag: int) -> bytes:
+    """`basic.nack` of one message, not to be requeued."""
+    return _SETTLED.pack(METHOD, channel, 13, 60, 120, tag, 0, FRAME_END)
+
+
+def returned(channel: int, code: int, text: str, exchange: str, routing_key: str) -> bytes:
+    """`basic.return`."""
+    payload = b"\x00\x3c\x00\x32" + code.to_bytes(2, "big")
+    return frame(METHOD, channel, payload + _shortstr(text) + _shortstr(exchange) + _shortstr(routing_key))
+
+
+def _publish(payload: bytes) -> Method | None:
+    """`basic.publish`, which comes most often; None where anything is odd about it."""
+    try:
+        routing_at = 7 + payload[6]
+        bits_at = routing_at + 1 + payload[routing_at]
+        bits = payload[bits_at]
+    except IndexError:
+        return None
+    args = {
+        "reserved1": 0,
+        "exchange": payload[7:routing_at].decode("utf-8", "replace"),
+        "routing_key": payload[routing_at + 1 : bits_at].decode("utf-8", "replace"),
+        "mandatory": bool(bits & 1),
+        "immediate": bool(bits & 2),
+    }
+    return Method("basic.publish", args, 60, 40)
+
+
 def decode_method(payload: bytes) -> Method:
+    if payload.startswith(_PUBLISH) and (found := _publish(payload)) is not None:
+        return found
     reader = _Reader(payload)
     class_id, method_id = reader.number(">H"), reader.number(">H")
     spec = _BY_ID.get((class_id, method_id))
@@ -307,21 +348,39 @@
 
     method: Method
     size: int = -1  # -1: the header has not come
-    properties: dict[str, Any] = field(default_factory=dict)
+    head: bytes = b""  # the header frame's payload
     body: bytearray = field(default_factory=bytearray)
+    _properties: dict[str, Any] | None = None
+
+    @property
+    def properties(self) -> dict[str, Any]:
+        """Read when they are first asked for: what is turned away in a crowd is returned as it came."""
+        if self._properties is None:
+            self._properties = decode_header(self.head)[1]
+        return self._properties
 
     @property
     def whole(self) -> bool:
         return len(self.body) == self.size
 
 
-def decode_header(payload: bytes) -> tuple[int, dict[str, Any]]:
-    reader = _Reader(payload)
-    class_id, _, size, flags = (reader.number(form) for form in (">H", ">H", ">Q", ">H"))
+def content_size(payload: bytes) -> int:
+    """The body's size as a header frame has it; AmqpError where it is not one of a message."""
+    if len(payload) < 14:
+        raise AmqpError(502, "SYNTAX_ERROR - arguments cut short")
+    class_id, _, size, flags = _HEAD.unpack_from(payload)
     if class_id != BASIC:
         raise AmqpError(505, "UNEXPECTED_FRAME - content of another class")
     if flags & 1:
         raise AmqpError(502, "SYNTAX_ERROR - unknown properties")
+    return int(size)
+
+
+def decode_header(payload: bytes) -> tuple[int, dict[str, Any]]:
+    size = content_size(payload)
+    reader = _Reader(payload)
+    reader.at = 12
+    flags = reader.number(">H")
     found = {}
     for place, (name, kind) in enumerate(_PROPERTIES):
         if flags >> (15 - place) & 1:
@@ -336,7 +395,11 @@
         if (value := properties.get(name)) is not None:
             flags |= 1 << (15 - place)
             packed += _typed(kind, value)
-    head = frame(HEADER, channel, struct.pack(">HHQH", BASIC, 0, len(body), flags) + packed)
+    return content_as_it_came(channel, _HEAD.pack(BASIC, 0, len(body), flags) + packed, body, frame_max)
+
+
+def content_as_it_came(channel: int, head: bytes, body: bytes, frame_max: int) -> bytes:
+    """Header and body frames, of a header frame's payload."""
     step = frame_max - FRAME_OVERHEAD
     parts = [frame(BODY, channel, body[at : at + step]) for at in range(0, len(body), step)]
-    return head + b"".join(parts)
+    return frame(HEADER, channel, head) + b"".join(parts)
--- a/mountgauge/amqp/link.py
+++ b/mountgauge/amqp/link.py
@@ -9,9 +9,9 @@
 
 from mountgauge.amqp import codec
 from mountgauge.amqp.codec import AmqpError, Content, Frame, Method
-from mountgauge.sockets import Drain
+from mountgauge.sockets import LINGER, Drain
 
-_RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
+RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 MOST_BODY = 64 * 1024
 FRAME_MAX = 128 * 1024
 _GRACE = 0.25  # s past two intervals, for a beat that is on its way
@@ -98,6 +98,8 @@
     def hear_no_more(self) -> None:
         if self._drain is None and self.transport is not None:
             self._drain = Drain(self.transport)
+            self._closing_by = asyncio.get_running_loop().time() + LINGER
+            self.arm(self.deadline)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -161,7 +163,7 @@
         self.flushed = True
 
     def get_buffer(self, sizehint: int) -> bytearray:
-        return _RECEIVE if self._drain is None else self._drain.buffer()
+        return RECEIVE if self._drain is None else self._drain.buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         self._read_at = asyncio.get_running_loop().time()
@@ -170,7 +172,7 @@
             return
         if not self.halfway:
             self._whole_at = self._read_at
-        self._parser.feed(memoryview(_RECEIVE)[:nbytes])
+        self._parser.feed(memoryview(RECEIVE)[:nbytes])
         self.read()
 
     @property
@@ -240,7 +242,7 @@
         if kind == codec.HEADER:
             if content.size >= 0:
                 raise AmqpError(505, "UNEXPECTED_FRAME - a second header")
-            content.size, content.properties = codec.decode_header(payload)
+            content.size, content.head = codec.content_size(payload), payload
             if content.size > MOST_BODY:
                 del self._contents[channel]
                 raise AmqpError(311, "CONTENT_TOO_LARGE", False, codec.BASIC, 40)
@@ -266,8 +268,6 @@
             self.state = State.CLOSED
             if self._beat is not None:
                 self._beat.cancel()
-            if self._drain is not None:
-                self._drain.close()
-                self._drain = None
+            self._drain = None
             self.on_lost()
             self.transport = None
--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -378,9 +378,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = self.closing = True
         self._parser = self._transport = None
-        if self._drain is not None:
-            self._drain.close()
-            self._drain = None
+        self._drain = None
         self._clients.left(self)
 
 
--- a/mountgauge/holding/front.py
+++ b/mountgauge/holding/front.py
@@ -44,6 +44,7 @@
         self.port = 0
         self._door: Door | None = None
         self._closing: Iterator[C] | None = None
+        keeper.tables.append(self.seats.make_anew)
 
     def listen_with(self, make: Callable[[], C], full: Callable[[], bytes], host: str, port: int) -> None:
         """Accept from now on; `make` gives a protocol for each connection, `full` what one hears at most."""
--- a/mountgauge/holding/keeper.py
+++ b/mountgauge/holding/keeper.py
@@ -12,6 +12,7 @@
 import select
 import socket
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
 from mountgauge.holding.budget import Budget
@@ -22,6 +23,7 @@
 from mountgauge.holding.wheel import FAR, Wheel
 
 BATCH = 64  # connections that one turn of the loop hears, lets go or cleans up after
+_LARGE = 1024  # connections from which on emptied tables are worth making anew
 _FREEZE = 512  # connections more or fewer after which the collector is told of them
 
 
@@ -60,6 +62,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._wake_at = FAR
         self._frozen_at = 0  # connections
+        self._peak = 0  # connections, since tables were made anew
+        self.tables: list[Callable[[], None]] = []  # make one anew, in the size that it needs now
 
     @property
     def open(self) -> int:
@@ -92,6 +96,7 @@
         fd = sock.detach()
         line = Line(self, fd, protocol)
         self._lines[fd] = line
+        self._peak = max(self._peak, len(self._lines))
         if self.sheds and abs(len(self._lines) - self._frozen_at) >= _FREEZE:
             # Connections that stay are not walked again by the collector, which would stop all else for long.
             self._frozen_at = len(self._lines)
@@ -129,6 +134,11 @@
     def gone(self, line: Line) -> None:
         del self._lines[line.fd]
         self.unread.hold(line, 0)
+        if self._peak > _LARGE and len(self._lines) < self._peak // 4:
+            # A dict keeps the size of its greatest day.
+            self._lines, self._peak = dict(self._lines), len(self._lines)
+            for anew in self.tables:
+                anew()
 
     # Turns
 
--- a/mountgauge/holding/seats.py
+++ b/mountgauge/holding/seats.py
@@ -131,6 +131,11 @@
             self.users[user] += 1
         return None
 
+    def make_anew(self) -> None:
+        """Tables in the size that they need now: Python's don't shrink."""
+        self.members = set(self.members)
+        self._lines = [dict(of) for of in self._lines]
+
     def give_up(self, item: T) -> None:
         """Its place is free, though it may still stand in a line until it is closed."""
         if item in self.members:
--- a/mountgauge/sockets.py
+++ b/mountgauge/sockets.py
@@ -10,14 +10,13 @@
 
 
 class Drain:
-    """Reads on and throws away, at a bounded pace, until the peer has had time to read the last words.
+    """Reads on and throws away, at a bounded pace, while the peer has time to read the last words: LINGER.
 
     Closed with bytes unread, a connection is reset, and what was said last may be lost with it.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        self._end = asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
     @staticmethod
     def buffer() -> bytearray:
@@ -31,6 +30,3 @@
     def _on(self) -> None:
         if not self._transport.is_closing():
             self._transport.resume_reading()
-
-    def close(self) -> None:
-        self._end.cancel()
--- a/tests/holding/test_hard.py
+++ b/tests/holding/test_hard.py
@@ -21,6 +21,7 @@
 import pytest
 
 from mountgauge import cli
+from mountgauge.access import Access, User
 from mountgauge.amqp import codec
 from mountgauge.amqp.clients import AmqpClients, AmqpConnection
 from mountgauge.clients import ClientConnection, Clients
@@ -34,8 +35,9 @@
 from mountgauge.holding.vitals import Vitals, client_metrics
 from mountgauge.otlp import Snapshot, encode
 from mountgauge.status import ask
-from tests.helper import HOST, HttpHop, run, until
-from tests.test_amqp_states import GRADE
+from tests.helper import HOST, HttpHop, receive, run, until
+from tests.helper import Transport as Recorder
+from tests.test_amqp_states import GRADE, methods
 from tests.test_clients import command, enqueue
 
 TIMES = Times(handshake=30.0, half=30.0, idle=float("inf"), unread=30.0)
@@ -266,6 +268,38 @@
     run(main())
 
 
+def test_a_user_past_its_share_is_refused_on_both_fronts_and_others_are_not() -> None:
+    async def main() -> None:
+        access = Access({"rossi": User("p"), "bianchi": User("p")})
+        settings = replace(SETTINGS, most_per_user=1)
+        async with holding(3, settings) as held:
+            held.front.access = access
+            said = []
+            for sock, user in zip(held.socks, (b"rossi", b"rossi", b"bianchi"), strict=True):
+                sock.send(command(b"AUTH", user, b"p"))
+                said.append((await held.hear(sock))[:11])
+            assert said == [b"+OK\r\n", b"-MAXCLIENTS", b"+OK\r\n"]
+            held.socks[0].close()
+            await until(lambda: held.keeper.open == 2)
+            held.socks[1].send(command(b"AUTH", b"rossi", b"p"))  # its place is free again
+            assert await held.hear(held.socks[1]) == b"+OK\r\n"
+
+        front = AmqpClients(
+            lambda one: None, ("note",), (GRADE,), 9, access, keeper=Keeper(settings)
+        )  # fmt: skip
+        codes = []
+        for _ in range(2):
+            connection, transport = AmqpConnection(front), Recorder()
+            connection.connection_made(transport)
+            receive(connection, codec.PROTOCOL_HEADER)
+            word = "\0rossi\0p"
+            receive(connection, codec.method(0, "connection.start-ok", mechanism="PLAIN", response=word))
+            codes.append([(name, code) for _, name, code in methods(transport.take())][1])
+        assert codes == [("connection.tune", 0), ("connection.close", 530)]
+
+    run(main())
+
+
 # AMQP
 
 OPENING = (
--- a/tests/test_amqp_codec.py
+++ b/tests/test_amqp_codec.py
@@ -83,3 +83,26 @@
     with pytest.raises(AmqpError) as error:
         codec.decode_method(bytes.fromhex(payload))
     assert error.value.code == code and error.value.hard
+
+
+def test_what_is_told_often_is_the_same_as_by_the_table() -> None:
+    assert codec.ack(3, 1 << 40) == codec.method(3, "basic.ack", tag=1 << 40)
+    assert codec.nack(65535, 7) == codec.method(65535, "basic.nack", tag=7)
+    args = {"code": 313, "text": "DEFERRED again_ms=5", "exchange": "x", "routing_key": "y" * 255}
+    assert codec.returned(1, *args.values()) == codec.method(1, "basic.return", **args)  # type: ignore[arg-type]
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text(max_size=60), st.text(max_size=60), st.booleans(), st.booleans(), st.integers(0, 40))
+def test_a_publish_is_read_as_by_the_table(
+    exchange: str, key: str, mandatory: bool, immediate: bool, cut: int
+) -> None:
+    said = codec.method(1, "basic.publish", exchange=exchange, routing_key=key, mandatory=mandatory,
+                        immediate=immediate)  # fmt: skip
+    payload = said[7:-1]
+    method = codec.decode_method(payload)
+    assert (method.name, method.class_id, method.method_id) == ("basic.publish", 60, 40)
+    assert list(method.args.values()) == [0, exchange, key, mandatory, immediate]
+    if 0 < cut < len(payload) - 3:
+        with pytest.raises(codec.AmqpError):
+            codec.decode_method(payload[:-cut])
