--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -220,6 +220,8 @@
             whole = self.greeted = True
             if not self._slots and self.line != Line.BUSY:
                 self.woken = self._clients.keeper.now() - self.since >= RESTED
+                if self._clients.turns_back(self, args):
+                    continue  # it rests on, as if it had not asked
                 self._clients.stand(self, Line.BUSY)
             self._slots.append(slot := Slot())
             try:
@@ -345,6 +347,11 @@
         if self._paused:
             self._read()
 
+    def say(self, content: bytes) -> None:
+        """With nothing asked before that is not answered."""
+        if self._transport is not None and not self.closed:
+            self._transport.write(content)
+
     def close(self) -> None:
         """Once what was asked is answered; between requests a sender may close."""
         self.closing = True
@@ -427,20 +434,21 @@
             self._log_in(args, connection, self.access)
             connection.answer(slot, b"+OK\r\n")
         elif command == b"ENQUEUE":
-            if self.keeper.sheds and self._pressed(connection):
-                connection.answer(slot, b"-BUSY %d\r\n" % self.come_again())
-                return
             submission = self._submission(args, connection, slot)
             connection.handed_in += 1
             self._submit(submission)
         else:
             raise BadRequest(f"unknown command '{_shown(args[0])}'")
 
-    def _pressed(self, connection: ClientConnection) -> bool:
+    def turns_back(self, connection: ClientConnection, args: list[bytes]) -> bool:
         """More want to be heard than can be: answered at once, as the core could not do in time."""
-        if not self.keeper.crowd.pressed(self.keeper.now(), connection.woken):
+        keeper = self.keeper
+        if not keeper.sheds or args[0] != b"ENQUEUE":
+            return False
+        if not keeper.crowd.pressed(keeper.now(), connection.woken):
             return False
         self.counts["clients", "crowded"] += 1
+        connection.say(b"-BUSY %d\r\n" % self.come_again())
         return True
 
     def _log_in(self, args: list[bytes], connection: ClientConnection, access: Access) -> None:
