Share free ports and process figures between the measurements and the tests

Both benchmarks and two test modules each looked for free ports, and both benchmarks read a process's processor time and memory, in lines of their own. benchmarks/process.py has them once; the program itself is unchanged.

--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.tenants import _cpu, _ports, _rss
+from benchmarks.process import cpu_s, free_ports, resident_bytes
 from benchmarks.udp_relay import HOST
 from mountgauge.core.config import Address
 from mountgauge.http1 import Parser, response
@@ -176,10 +176,10 @@
     async def idle(self, seconds: float) -> tuple[float, float, float]:
         """Share of a core, wakeups a second, and voluntary switches a second, with nothing handed in."""
         await asyncio.sleep(_SETTLE)
-        before, cpu, at = (await self.clients())["loop_wakeups"], _cpu(self.pid), time.monotonic()
+        before, cpu, at = (await self.clients())["loop_wakeups"], cpu_s(self.pid), time.monotonic()
         await asyncio.sleep(seconds)
         spent = time.monotonic() - at
-        cpu = _cpu(self.pid) - cpu
+        cpu = cpu_s(self.pid) - cpu
         return cpu / spent, ((await self.clients())["loop_wakeups"] - before) / spent, spent
 
     def descriptors(self) -> int:
@@ -196,7 +196,7 @@
     rows: list[dict[str, float]] = []
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        ports = _ports(3, socket.SOCK_STREAM)
+        ports = free_ports(3, socket.SOCK_STREAM)
         (folder / "sender.toml").write_text(sender_file(front, ports, await busy.start()))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "mountgauge", "run", str(folder / "sender.toml"),
@@ -218,7 +218,7 @@
             await busy.run(2.0)  # warm
             alone = await busy.run(compare)
             found["idle_cpu_share_none"], found["wakeups_per_s_none"], _ = await sender.idle(quiet)
-            rss, slab, fds = _rss(sender.pid), slab_bytes(), sender.descriptors()
+            rss, slab, fds = resident_bytes(sender.pid), slab_bytes(), sender.descriptors()
             # The ramp
             kept, why = 0, ""
             if front == "amqp":
@@ -230,7 +230,8 @@
                 kept += sum(one["opened"] for one in results)
                 why = next((one["why"] for one in results if "why" in one), "")
                 turn = (await sender.clients())["longest_turn_ever_ms"]
-                rows.append({"held": kept, **during, "rss": _rss(sender.pid) - rss, "longest_turn_ms": turn})
+                grown = resident_bytes(sender.pid) - rss
+                rows.append({"held": kept, **during, "rss": grown, "longest_turn_ms": turn})
                 if during["ok_p99"] > 0.4:
                     why = "p99 of +OK past 400 ms"
                 elif during["delivered_p99"] > 2:
@@ -238,7 +239,7 @@
             found["kept"] = (await sender.clients())["fronts"][front]["open"] - (front == "resp") * BUSY
             found["breaks_at"] = kept if why else None
             found["breaks_by"] = why or "nothing up to the target"
-            found["bytes_per_connection"] = round((_rss(sender.pid) - rss) / max(1, kept))
+            found["bytes_per_connection"] = round((resident_bytes(sender.pid) - rss) / max(1, kept))
             found["kernel_bytes_per_connection"] = round((slab_bytes() - slab) / 2 / max(1, kept))
             found["idle_cpu_share"], found["wakeups_per_s"], _ = await sender.idle(quiet)
             held = await busy.run(compare)
@@ -289,11 +290,11 @@
             await asyncio.sleep(_SETTLE)
             now = await sender.clients()
             found["descriptors_left_over"] = sender.descriptors() - fds
-            found["rss_left_over"] = _rss(sender.pid) - rss
+            found["rss_left_over"] = resident_bytes(sender.pid) - rss
             again_alone = await busy.run(compare)
             # What did not go back to the system is used again. These are still held at SIGHUP and SIGTERM.
             await loads.open(kept)
-            found["second_ramp_bytes"] = round((_rss(sender.pid) - rss) / max(1, kept))
+            found["second_ramp_bytes"] = round((resident_bytes(sender.pid) - rss) / max(1, kept))
             os.kill(sender.pid, signal.SIGHUP)
             await asyncio.sleep(0.3)
             found["reload_closed"] = kept + BUSY - (await sender.clients())["open"]
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -14,7 +14,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import socket
 import sys
@@ -25,6 +24,7 @@
 from typing import Any
 
 from benchmarks.fleet_model import Weather, World
+from benchmarks.process import cpu_s, free_ports, resident_bytes
 from benchmarks.udp_relay import HOST, Relay
 from mountgauge.amqp import codec
 from mountgauge.core.config import Address
@@ -39,27 +39,6 @@
 LOSS, DELAY = 0.3, 0.5
 LIMITED, BILLED, SMALL = 8.0, 6.0, 6.0  # messages a second that each member is offered of each kind
 KEY = "the benchmark's own key"
-_TICK = os.sysconf("SC_CLK_TCK")
-
-
-def _ports(count: int, kind: socket.SocketKind) -> list[int]:
-    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for one in held:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
-def _cpu(pid: int) -> float:
-    """Processor time of a process so far, s."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICK
-
-
-def _rss(pid: int) -> int:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
 class Partner:
@@ -209,9 +188,9 @@
         self.truth = Truth()
         self.alone = Truth()  # of the ninth
         self.processes: list[asyncio.subprocess.Process] = []
-        tcp = _ports(3 * (MEMBERS + 1), socket.SOCK_STREAM)
+        tcp = free_ports(3 * (MEMBERS + 1), socket.SOCK_STREAM)
         self.resp, self.amqp, self.status = tcp[::3], tcp[1::3], tcp[2::3]
-        self.udp = _ports(MEMBERS, socket.SOCK_DGRAM)
+        self.udp = free_ports(MEMBERS, socket.SOCK_DGRAM)
         self.relay = Relay([(HOST, port) for port in self.udp], LOSS, DELAY, seed)
 
     async def start(self) -> None:
@@ -322,7 +301,7 @@
             await fleet.start()
             await asyncio.sleep(2 * DELAY + 1)
             pids = [process.pid for process in fleet.processes]
-            cpu, gossip, began = [_cpu(pid) for pid in pids], await fleet.gossip_bytes(), time.monotonic()
+            cpu, gossip, began = [cpu_s(pid) for pid in pids], await fleet.gossip_bytes(), time.monotonic()
             loading = asyncio.create_task(fleet.load(began + seconds))
             errors, over, too_many = [0.0], [0.0], 0
             while not loading.done():
@@ -343,7 +322,7 @@
             await loading
             spent = time.monotonic() - began
             found["exact_after_s"] = round(await _exact(fleet, 30), 2)
-            shares = [(_cpu(pid) - before) / spent for pid, before in zip(pids, cpu, strict=True)]
+            shares = [(cpu_s(pid) - before) / spent for pid, before in zip(pids, cpu, strict=True)]
             found["error_after_5s_max"] = round(max(errors), 4)
             found["counted_too_many"] = too_many
             found["overshoot"] = round(max(over), 4)
@@ -351,8 +330,8 @@
             found["cpu_share"] = round(sum(shares[:-1]) / MEMBERS - shares[-1], 4)
             found["cpu_share_alone"] = round(shares[-1], 4)
             found["bytes_per_s"] = round((await fleet.gossip_bytes() - gossip) / spent / MEMBERS)
-            found["memory_mb"] = round(max(_rss(pid) for pid in pids[:-1]) / 1e6, 1)
-            found["memory_mb_alone"] = round(_rss(pids[-1]) / 1e6, 1)
+            found["memory_mb"] = round(max(resident_bytes(pid) for pid in pids[:-1]) / 1e6, 1)
+            found["memory_mb_alone"] = round(resident_bytes(pids[-1]) / 1e6, 1)
             # The halves, for longer than it takes to notice.
             fleet.relay.split = set(range(MEMBERS // 2))
             began, before = time.monotonic(), truth.taken["limited"]
--- a/tests/holding/test_hard.py
+++ b/tests/holding/test_hard.py
@@ -20,6 +20,7 @@
 
 import pytest
 
+from benchmarks.process import free_ports
 from mountgauge import cli
 from mountgauge.access import Access, User
 from mountgauge.amqp import codec
@@ -418,21 +419,13 @@
 """
 
 
-def ports(count: int) -> list[int]:
-    held = [socket.create_server((HOST, 0)) for _ in range(count)]
-    found = [int(one.getsockname()[1]) for one in held]
-    for one in held:
-        one.close()
-    return found
-
-
 @asynccontextmanager
 async def process(
     folder: Path, sockets: int, hard: int
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Address, HttpHop]]:
     hop = HttpHop()
     await hop.start()
-    resp, status = ports(2)
+    resp, status = free_ports(2, socket.SOCK_STREAM)
     file = folder / "many.toml"
     file.write_text(FILE.format(sockets=sockets, resp=resp, status=status, hop=hop.port))
     limit = f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({min(64, hard)}, {hard}))"
--- a/tests/tenants/test_service.py
+++ b/tests/tenants/test_service.py
@@ -16,6 +16,7 @@
 import orjson
 import pytest
 
+from benchmarks.process import free_ports
 from mountgauge import cli
 from mountgauge.amqp import codec
 from mountgauge.core.config import Address
@@ -48,16 +49,6 @@
     return f'[fleet]\nname = "f"\nkeys = ["{KEY}"]\ninterval = 0.05\n{where}'
 
 
-def free_ports(count: int) -> list[int]:
-    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for one in held:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
 # Settings
 
 
@@ -184,7 +175,7 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     async def main() -> None:
-        one, two = free_ports(2)
+        one, two = free_ports(2, socket.SOCK_DGRAM)
         for name in ("a", "b"):
             (tmp_path / name).mkdir()
         first = World(tmp_path / "a", "http", extra=fleet(one, two) + TENANTS)
@@ -228,7 +219,7 @@
 
 def test_sighup_moves_quotas_peers_and_keys(tmp_path: Path) -> None:
     async def main() -> None:
-        mine, peer = free_ports(2)
+        mine, peer = free_ports(2, socket.SOCK_DGRAM)
         async with World(tmp_path, "http", extra=fleet(mine, peer) + TENANTS) as world:
             tenants = world.runtime.tenants
             assert tenants is not None and tenants.fleet is not None
@@ -259,7 +250,7 @@
 
     def __init__(self, folder: Path, hop: int) -> None:
         self.folder = folder
-        self.udp = free_ports(2)
+        self.udp = free_ports(2, socket.SOCK_DGRAM)
         with socket.socket() as a, socket.socket() as b, socket.socket() as c, socket.socket() as d:
             for one in (a, b, c, d):
                 one.bind((HOST, 0))
