--- a/tests/holding/test_hard.py
+++ b/tests/holding/test_hard.py
@@ -105,7 +105,7 @@
         held.close()
 
 
-def test_the_platforms_few_connections_need_no_epoll_within_the_loops(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_few_connections_need_no_epoll_within_the_loops(monkeypatch: pytest.MonkeyPatch) -> None:
     """Not every system wakes the outer one: there each client would wait for the next timer."""
 
     async def main() -> None:
