Pace by the part of a listed limit from the start where senders are many; spread endpoints

Checked: the answers fit a bucket of the listed rate in which refused calls count (5 of 421 misjudged), a window of 2 s fits worse; so refusals use up what would be served. At fault: policy.py _full (0.9 of the listed part as the floor), _answered (a step of 0.1 calls/s for each sender), no pace at first with 40 senders, _choose (the endpoint that answered first seems the quickest). No senders counted no longer ends in a division by zero. Tests with 40 modules in virtual time fail without the change.

--- a/rillspindle/interface.py
+++ b/rillspindle/interface.py
@@ -259,7 +259,7 @@
 
         number = (int, float)
         return cls(
-            balancers=get("balancers", int),
+            balancers=max(1, get("balancers", int)),  # none counted: this one
             zone=get("zone", int, default=0),
             tick=float(get("tick", *number)),
             subscribe=get("discovery", str) == "subscribe",
--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -26,6 +26,7 @@
 UNSAFE_BAD, AILING, DEAD = 0.3, 0.6, 0.8  # shares of bad outcomes: no unsafe message; an outage; down
 PACE_CUT, PACE_FIRST = 0.5, 0.5  # factors of the pace at a refusal as full; the first takes the last second
 PACE_STEP = 0.1  # calls/s by which each success raises the pace: a tenth of any pace in each second
+PACE_BACK, PACE_ON = 0.2, 0.01  # the same as parts of a known limit: while the pace is below it, and past it
 PACE_LEAST = 0.5  # calls/s of all nodes together; under their part of it a pace holds messages past any use
 RATE_SPAN = 8.0  # s over which a route's healthy rate is averaged
 WEIGHT_TRUST = 0.9  # part of a rough or reported limit that is surely there
@@ -105,7 +106,10 @@
             ep = self.eps.setdefault(entry.endpoint, new)
             ep.ready = entry.readiness == Readiness.READY
             if self.set.weights in ("nominal", "rough") and entry.scale > 0:
-                ep.route.limit = entry.scale / self.set.balancers * WEIGHT_TRUST
+                trust = WEIGHT_TRUST if self.set.weights == "rough" else 1.0
+                ep.route.limit = entry.scale / self.set.balancers * trust
+                if self.many and ep.route.pace == math.inf:  # else each is refused before it learns it
+                    ep.route.pace = ep.route.limit
         ready: dict[int, list[Endpoint]] = {}
         for ep in self.eps.values():
             if ep.ready:
@@ -298,7 +302,10 @@
         self.starved = self.starved or bool(ready and self.busy >= self.set.workers)
         if not ready or not room or self.busy >= self.set.workers:
             return None
-        return min(ready, key=lambda ep: (ep.failed_at == 0, ep.usual * (1 + len(ep.calls))))
+        # what other nodes have out there is not known: were the quickest taken, all would take the same
+        others = (self.set.balancers - 1) / self.set.workers  # at any endpoint, at most
+        busy = {ep.id: 1 + len(ep.calls) + others * self.random.random() for ep in ready}
+        return min(ready, key=lambda ep: (ep.failed_at == 0, ep.usual * busy[ep.id]))
 
     def _send(self, msg: Message, ep: Endpoint) -> None:
         if self._joins(ep):
@@ -435,7 +442,7 @@
             route.cold_since = self.now
         route.rate_at = self.now
         route.misses, route.window_end = 0, 0.0
-        route.pace += PACE_STEP
+        route.pace += (PACE_BACK if route.pace < route.limit else PACE_ON) * route.limit or PACE_STEP
 
     def _live(self, ep: Endpoint) -> None:
         # a lone failure while it warms up is chance: starting over each time would never let it warm up
@@ -457,7 +464,8 @@
                 recent = PACE_FIRST * len([at for at in route.calls if at > self.now - RATE_SPAN]) / RATE_SPAN
             else:
                 recent = PACE_CUT * route.pace
-            route.pace = max(self.pace_least, route.limit, recent)
+            # one of many nodes sees too few refusals to tell a lowered limit from a clump: it goes below it
+            route.pace = max(self.pace_least, route.limit * (PACE_CUT if self.many else 1.0), recent)
         # a turn of the pace, at random: many nodes are refused, or told to wait, at one time
         rest = (1 + self.many) * self.random.random() / max(route.pace, self.pace_least)
         route.next_at = max(route.next_at, max(self.now, route.wait_until) + rest)
--- /dev/null
+++ b/tests/test_fleet_growth.py
@@ -0,0 +1,87 @@
+"""Many nodes of few calls each against one scripted destination, in virtual time: judged by sums over all."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from rillspindle.interface import Entry, ListKind, Outcome
+from tests.driver import Driver, entry
+from tests.settings import settings
+
+NODES, RATE, DEPTH = 40, 24.0, 0.4  # calls/s of the destination, and s of them that may come at once
+
+
+@dataclass
+class Limited:
+    """A destination that counts refused calls too, as a fleet of `NODES` meets it."""
+
+    demand: float  # messages/s over all nodes
+    hops: tuple[Entry, ...] = (entry(1, scale=RATE), entry(2, scale=RATE))
+    lowered: tuple[float, float] = (0.0, 0.0)  # from when until when two thirds of the rate hold
+    answers: Counter[tuple[int, int]] = field(default_factory=Counter)  # by second and outcome
+    calls: Counter[bytes] = field(default_factory=Counter)  # by endpoint
+
+    def play(self, seconds: float) -> None:
+        env = settings(weights="nominal", balancers=NODES)
+        env["extra"]["workers"] = 5
+        fleet = [Driver(env, seed) for seed in range(NODES)]
+        rng, room, number, step = Random(5), RATE * DEPTH, 0, 0.02
+        for d in fleet:
+            d.targets(ListKind.CACHED, *self.hops)
+        start = fleet[0].now
+        for tick in range(int(seconds / step)):
+            at = tick * step
+            rate = RATE * 2 / 3 if self.lowered[0] <= at < self.lowered[1] else RATE
+            room = min(rate * DEPTH, room + rate * step)
+            while number < self.demand * at:
+                number += 1
+                d = rng.choice(fleet)
+                d.advance(start + at)
+                d.incoming(number)
+            for d in fleet:
+                d.advance(start + at)
+                for msg, attempt in d.pending():
+                    room -= 1
+                    outcome = Outcome.OK if room >= 0 else Outcome.FULL
+                    self.answers[int(at), outcome] += 1
+                    self.calls[d.held[msg].sends[attempt]["endpoint"]] += 1
+                    d.respond(msg, outcome, number=attempt)
+
+    def count(self, outcome: int, begin: int, end: int) -> int:
+        return sum(n for (at, what), n in self.answers.items() if what == outcome and begin <= at < end)
+
+
+def test_a_listed_limit_holds_from_the_first_calls_on() -> None:
+    """Each of forty nodes would have to be refused to learn it, and each refusal uses the limit up."""
+    peer = Limited(demand=1.2 * RATE)
+    peer.play(8)
+    assert peer.count(Outcome.FULL, 0, 8) <= 0.02 * 8 * RATE
+
+
+def test_a_lowered_limit_is_found_by_nodes_of_few_calls_and_left_again() -> None:
+    """Refusals past the limit keep it used up: at the listed share nothing at all would get through."""
+    peer = Limited(demand=1.2 * RATE, lowered=(4.0, 13.0))
+    peer.play(19)
+    assert peer.count(Outcome.OK, 8, 13) >= 0.4 * 5 * RATE * 2 / 3
+    assert peer.count(Outcome.OK, 14, 19) >= 0.7 * 5 * RATE, "and it is used again once it is back"
+
+
+def test_all_nodes_together_use_all_endpoints() -> None:
+    """The first to have answered seems the quickest to each node: all would take the same one."""
+    peer = Limited(demand=0.7 * RATE)
+    peer.play(8)
+    first, second = peer.calls.values()
+    assert min(first, second) >= 0.3 * (first + second)
+
+
+def test_odd_lists_and_fleets_neither_crash_nor_stop_delivery() -> None:
+    for nodes, scale in ((1, 0.0), (40, 0.0), (40, 0.5), (0, 12.0), (200, 1e-6)):
+        d = Driver(settings(weights="nominal", balancers=nodes))
+        d.targets(ListKind.CACHED, entry(1, scale=scale))
+        for number in range(3):
+            d.incoming(number)
+            assert d.pending() or number, (nodes, scale)
+            d.advance(d.now + 13)
+        assert all(h.answered for h in d.held.values()), (nodes, scale)
