--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -35,7 +35,9 @@
 DEST_SHARE = 0.5  # most of the slots, and of the held messages, for one destination
 OPEN_SHARE = 0.9  # most of what may be held in all: past all of it the door shuts for every destination
 RETRY_AFTER_ERROR = 0.3  # s before a message goes out again after an error; doubles with each attempt
-NODES_PER_SLOT = 4  # nodes for each slot of one from which idle connections fill tables, and retries limits
+NODES_PER_SLOT = 4  # nodes for each slot of one from which retries fill limits, and each sees little of one
+NODES_PER_PLACE = 16  # the same, from which idle connections fill an endpoint's table
+LIST_CALL = 0.2  # s of discovery's time that a node leaves for each of many others after a failed call
 FORGET = 10  # times the warm-up after which a destination without endpoints or messages is forgotten
 LOG_LINES = 60  # most log lines of one instance
 
@@ -87,6 +89,9 @@
         if event.how == io.ListKind.FAILED:
             self.watch_tries += 1
             delay = self._jitter(min(self.set.ask_within / 4, 0.25 * 2**self.watch_tries))
+            # calls that wait too long cost discovery too: all nodes must find a place in its time
+            others = min(LIST_CALL * self.set.balancers, self.set.ask_within) if self.many else 0.0
+            delay += others * self.random.random()
             self.out.append(io.Schedule(delay, 1 << 40))
             return
         if event.how == io.ListKind.CACHED and self.set.subscribe:
@@ -353,7 +358,7 @@
             call.ep.calls.remove(call)
             self.busy -= 1
         self._judge(call, event)
-        if self.many and not call.ep.calls:
+        if self.set.balancers > NODES_PER_PLACE * self.set.workers and not call.ep.calls:
             self.out.append(io.Close(call.ep.id))  # the nodes' idle connections would fill its table
         if event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
             msg.ran.append((call.at, call.ep.zone))
