Start the route anew where the list brings a new endpoint

Checked: refusals by the old one halve the destination's pace and failed connects shut its route, both still in force when the list names the new one; ruled out: the new one's queue (no refusals). At fault: policy.py _list, which takes a new endpoint into the route as it is. Change: it opens the window and lifts the pace to the listed part.

--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -108,7 +108,8 @@
             dest = self.dests.setdefault(entry.owner, Dest(entry.owner))
             route = Route() if self.set.routes_apart[entry.kind] else dest.route
             new = Endpoint(entry.endpoint, entry.zone, entry.kind, dest, route, FIRST_USUAL, FIRST_USUAL / 2)
-            ep = self.eps.setdefault(entry.endpoint, new)
+            if (ep := self.eps.setdefault(entry.endpoint, new)) is new:  # what was learned is not of this one
+                route.window_end, route.misses, route.pace = 0.0, 0, max(route.pace, route.limit)
             ep.ready = entry.readiness == Readiness.READY
             if self.set.weights in ("nominal", "rough") and entry.scale > 0:
                 trust = WEIGHT_TRUST if self.set.weights == "rough" else 1.0
--- a/tests/test_fleet_growth.py
+++ b/tests/test_fleet_growth.py
@@ -94,6 +94,26 @@
     assert max(asked.values()) <= 12, "of forty, at most a few in each second"
 
 
+def test_an_endpoint_that_replaces_another_inherits_neither_window_nor_lowered_pace() -> None:
+    """A restarted node learns late that its endpoint was replaced: it must not wait longer for that."""
+    d = Driver(settings(weights="nominal", balancers=NODES, extra=EXTRA))
+    d.targets(ListKind.CACHED, entry(1, scale=RATE))
+    d.incoming(1, left=60)
+    d.respond(1, Outcome.FULL)
+    for _ in range(200):
+        d.advance(d.now + 0.1)
+        if d.pending() and len(d.held[1].sends) < 5:
+            d.respond(1, Outcome.CONNECT_FAILED)
+    d.incoming(2, left=60)
+    route = d.policy.dests[0].route
+    route.window_end = d.now + 30
+    assert route.pace < route.limit
+    d.targets(ListKind.FULL, entry(2, scale=RATE))
+    assert route.pace == route.limit
+    d.advance(d.now + 10)  # turns of a slow start
+    assert d.pending()
+
+
 def test_odd_lists_and_fleets_neither_crash_nor_stop_delivery() -> None:
     for nodes, scale in ((1, 0.0), (40, 0.0), (40, 0.5), (0, 12.0), (200, 1e-6)):
         d = Driver(settings(weights="nominal", balancers=nodes))
