--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -83,7 +83,6 @@
         return self.out
 
     # Discovery
-
     def _list(self, event: io.Targets) -> None:
         """Bring the list up to date; ask for changes where they don't come by themselves."""
         if event.how == io.ListKind.FAILED:
@@ -91,8 +90,7 @@
             delay = self._jitter(min(self.set.ask_within / 4, 0.25 * 2**self.watch_tries))
             # calls that wait too long cost discovery too: all nodes must find a place in its time
             others = min(LIST_CALL * self.set.balancers, self.set.ask_within) if self.many else 0.0
-            delay += others * self.random.random()
-            self.out.append(io.Schedule(delay, 1 << 40))
+            self.out.append(io.Schedule(delay + others * self.random.random(), 1 << 40))
             return
         if event.how == io.ListKind.CACHED and self.set.subscribe:
             self.out.append(io.Watch(True))
@@ -112,8 +110,8 @@
                 route.window_end, route.misses, route.pace = 0.0, 0, max(route.pace, route.limit)
             ep.ready = entry.readiness == Readiness.READY
             if self.set.weights in ("nominal", "rough") and entry.scale > 0:
-                trust = WEIGHT_TRUST if self.set.weights == "rough" else 1.0
-                ep.route.limit = entry.scale / self.set.balancers * trust
+                sure = 1.0 if self.set.weights == "nominal" else WEIGHT_TRUST
+                ep.route.limit = sure * entry.scale / self.set.balancers
                 if self.many and ep.route.pace == math.inf:  # else each is refused before it learns it
                     ep.route.pace = ep.route.limit
         ready: dict[int, list[Endpoint]] = {}
@@ -131,7 +129,6 @@
                 del self.dests[dest.id]
 
     # Life of a message
-
     def _take(self, event: io.Incoming) -> None:
         grade, by_half = self.set.grades[event.grade], self.set.loses_by_half
         key = event.key if grade.by_arrival else 0
@@ -220,7 +217,6 @@
                 self.out.append(io.Schedule(self._last_moment(msg) - self.now, msg.id))
 
     # The gate
-
     def _may_call(self, ep: Endpoint) -> float:
         """Earliest time at which this endpoint may take a call; infinite if only an event can tell."""
         route = ep.route
@@ -273,7 +269,6 @@
         return max(msg.not_before, 0.0 if msg.attempts else self.key_free.get(msg.key, 0.0))
 
     # The pump
-
     def _pump(self, dest: Dest) -> None:
         """Send what may go of what is held, dearest first; ask to be woken for the rest."""
         if not dest.held:
@@ -309,9 +304,8 @@
         if not ready or not room or self.busy >= self.set.workers:
             return None
         # what other nodes have out there is not known: were the quickest taken, all would take the same
-        others = (self.set.balancers - 1) / self.set.workers  # at any endpoint, at most
-        busy = {ep.id: 1 + len(ep.calls) + others * self.random.random() for ep in ready}
-        return min(ready, key=lambda ep: (ep.failed_at == 0, ep.usual * busy[ep.id]))
+        more, draw = (self.set.balancers - 1) / self.set.workers, self.random.random
+        return min(ready, key=lambda ep: (ep.failed_at == 0, ep.usual * (1 + len(ep.calls) + more * draw())))
 
     def _send(self, msg: Message, ep: Endpoint) -> None:
         if self._joins(ep):
@@ -348,7 +342,6 @@
         return span * (1 + JITTER * self.random.random())
 
     # Outcomes
-
     def _outcome(self, event: io.Response) -> None:
         msg = self.msgs.get(event.msg_id) or self.late.get(event.msg_id)
         if msg is None or event.send_no not in msg.out:
