--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -68,10 +68,8 @@
         self.now, self.out = now, []
         self.born = self.born or now
         match event:
-            case io.Incoming():
+            case io.Incoming() | io.Restored():
                 self._take(event)
-            case io.Restored():
-                self._restore(event)
             case io.Response():
                 self._outcome(event)
             case io.Ring(token):
@@ -129,24 +127,21 @@
                 del self.dests[dest.id]
 
     # Life of a message
-    def _take(self, event: io.Incoming) -> None:
-        grade, by_half = self.set.grades[event.grade], self.set.loses_by_half
-        key = event.key if grade.by_arrival else 0
-        dest = self.dests.setdefault(event.dest, Dest(event.dest))
+    def _take(self, event: io.Incoming | io.Restored) -> None:
+        """A new message; or one of an earlier process: its attempts count, out of time it ends at once."""
+        grade, dest = self.set.grades[event.grade], self.dests.setdefault(event.dest, Dest(event.dest))
+        msg = Message(event.msg_id, event.expires, grade, dest, 0, self.set.loses_by_half)
+        self.msgs[msg.id] = msg
+        if isinstance(event, io.Restored):
+            msg.attempts, msg.ran = event.attempts, list(event.ran)
+            self._again(msg, Outcome.MOOT)
+            return
         dest.taken += 1
-        msg = self.msgs[event.msg_id] = Message(event.msg_id, event.expires, grade, dest, key, by_half)
-        if msg.key:
+        if grade.by_arrival and event.key:
+            msg.key = event.key
             self.keys.setdefault(msg.key, deque()).append(msg)
         self._hold(msg)
 
-    def _restore(self, event: io.Restored) -> None:
-        """Taken on before a restart: its attempts still count, and one that is out of time ends at once."""
-        dest = self.dests.setdefault(event.dest, Dest(event.dest))
-        grade, by_half = self.set.grades[event.grade], self.set.loses_by_half
-        msg = self.msgs[event.msg_id] = Message(event.msg_id, event.expires, grade, dest, 0, by_half)
-        msg.attempts, msg.ran = event.attempts, list(event.ran)
-        self._again(msg, Outcome.MOOT)
-
     def _last_moment(self, msg: Message) -> float:
         """When no call for a held message can pay any more, or its destination may have forgotten the key."""
         usual = min((ep.usual for ep in msg.dest.endpoints), default=0.0)
@@ -440,7 +435,7 @@
         if route.rate_at < route.cold_since:  # slow start counts from the first answer, at any endpoint
             route.cold_since = self.now
         route.rate_at = self.now
-        route.misses, route.window_end = 0, 0.0
+        route.misses, route.window_end, route.full_since = 0, 0.0, math.inf
         route.pace += (PACE_BACK if route.pace < route.limit else PACE_ON) * route.limit or PACE_STEP
 
     def _live(self, ep: Endpoint) -> None:
@@ -453,6 +448,7 @@
     def _full(self, call: Call, wait: float) -> None:
         """Over its limit, or shut: heed a told wait (rule 5) and lower the pace."""
         ep, route = call.ep, call.ep.route
+        route.full_since = min(route.full_since, self.now)
         if wait > self.set.fall:  # longer than a limit needs: shut, and cold when it opens
             route.cold_since = route.wait_until
         if self.now - ep.answered_at > self.set.fall:  # full and nothing else: shut, not over its limit
@@ -464,7 +460,10 @@
             else:
                 recent = PACE_CUT * route.pace
             # one of many nodes sees too few refusals to tell a lowered limit from a clump: it goes below it
-            route.pace = max(self.pace_least, route.limit * (PACE_CUT if self.many else 1.0), recent)
+            floor = route.limit * (PACE_CUT if self.many else 1.0)
+            if self.now - route.full_since > self.set.fall + PROVEN / (route.limit or route.pace):
+                floor = 0.0  # refused only, for longer than a limit takes to recover: floors may hold that up
+            route.pace = max(self.pace_least, floor, recent)
         # a turn of the pace, at random: many nodes are refused, or told to wait, at one time
         rest = (1 + self.many) * self.random.random() / max(route.pace, self.pace_least)
         route.next_at = max(route.next_at, max(self.now, route.wait_until) + rest)
--- a/rillspindle/state.py
+++ b/rillspindle/state.py
@@ -17,6 +17,7 @@
     next_at: float = 0.0  # earliest next call under pace or slow start
     pace: float = math.inf  # calls/s
     cut_at: float = -math.inf
+    full_since: float = math.inf  # first refusal as full since the latest answer
     cold_since: float = -math.inf  # last sign of an outage, or the first success after it
     rate: float = 0.0  # own healthy rate, calls/s
     rate_at: float = -math.inf  # latest answer
