--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -25,9 +25,9 @@
 from typing import Any
 
 from benchmarks.process import cpu_s, free_ports, resident_bytes
-from benchmarks.udp_relay import HOST
 from mountgauge.core.config import Address
 from mountgauge.http1 import Parser, response
+from mountgauge.lab.rig.links import HOST
 from mountgauge.status import ask
 
 RATE, BUSY = 100.0, 100  # messages a second, over so many connections
@@ -159,7 +159,7 @@
     return (
         f'name = "idle"\nstate = "state"\n[limits]\nsockets = 19900\n[resp]\nlisten = "{HOST}:{ports[0]}"\n'
         f'{amqp}[clients]\nidle = "forever"\n[status]\nlisten = "{HOST}:{ports[1]}"\n'
-        '[rules]\nslots = 32\nconn_idle = 2\n'
+        "[rules]\nslots = 32\nconn_idle = 2\n"
         '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 3\naim = 2\n'
         f'[[next_hop]]\nid = "h"\naddr = "{HOST}:{partner}"\ndest = 7\n'
     )
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -25,10 +25,10 @@
 
 from benchmarks.fleet_model import Weather, World
 from benchmarks.process import cpu_s, free_ports, resident_bytes
-from benchmarks.udp_relay import HOST, Relay
 from mountgauge.amqp import codec
 from mountgauge.core.config import Address
 from mountgauge.http1 import Parser, response
+from mountgauge.lab.rig.links import HOST, Relay
 from mountgauge.status import ask
 from mountgauge.tenants.bounds import count_error, overshoot, overshoot_split, word_age
 
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `mountgauge run | agent | status | tenants | check`."""
+"""The command line: `mountgauge run | agent | status | tenants | check | lab`."""
 
 from __future__ import annotations
 
@@ -38,6 +38,7 @@
     tenants = commands.add_parser("tenants", help="show what each tenant has used across the fleet")
     tenants.add_argument("address", nargs="?", default="127.0.0.1:9100", help="default: %(default)s")
     tenants.add_argument("--json", action="store_true", help="as one JSON object")
+    commands.add_parser("lab", add_help=False, help="play schedules of faults on real senders")
     check = commands.add_parser(
         "check", help="read an operator's or agent's file and say what is wrong with it"
     )
@@ -105,6 +106,14 @@
     return 0 if found["exact"] and not found["split"] and not found["conflicts"] else 1
 
 
+def _lab(rest: Sequence[str]) -> int:
+    try:  # with its libraries: only where it is asked for
+        from mountgauge.lab.cli import main as lab_main
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"lab: {error.name} is missing: see requirements-lab.txt") from None
+    return lab_main(rest)
+
+
 def _check(file: Path) -> int:
     if "instance" in read(file):
         found = agent.load_agent(file)
@@ -119,8 +128,11 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    args = _parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else list(argv)
     try:
+        if words[:1] == ["lab"]:
+            return _lab(words[1:])
+        args = _parser().parse_args(words)
         match args.command:
             case "agent":
                 return _agent(args.file)
--- /dev/null
+++ b/mountgauge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: rigs and experiments round real senders. Nothing that serves imports it."""
--- /dev/null
+++ b/mountgauge/lab/cli.py
@@ -0,0 +1,73 @@
+"""`mountgauge lab`: plays schedules of faults on real senders and judges what came of them."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+from mountgauge.lab.rig.events import Event, read
+from mountgauge.lab.rig.figures import summary
+from mountgauge.lab.rig.oracle import Judged, judge
+from mountgauge.lab.rig.play import play
+from mountgauge.lab.rig.schedule import Schedule, load
+
+
+def _parser() -> argparse.ArgumentParser:
+    lab = argparse.ArgumentParser(prog="mountgauge lab", description="Plays faults on real senders.")
+    inner = lab.add_subparsers(dest="lab", metavar="COMMAND", required=True)
+    rig = inner.add_parser("rig", help="play one schedule: real senders, stand-ins, links, faults")
+    rig.add_argument("file", type=Path)
+    rig.add_argument("--out", type=Path, help="the run's folder; default: runs/NAME-SEED")
+    rig.add_argument("--seed", type=int, help="in place of the schedule's")
+    rig.add_argument("--without", action="store_true", help="with [comeback] enabled = false")
+    rig.add_argument("--no-page", action="store_true", help="no HTML page")
+    judged = inner.add_parser("judge", help="judge a run's folder again")
+    judged.add_argument("folder", type=Path)
+    judged.add_argument("--no-page", action="store_true", help="no HTML page")
+    return lab
+
+
+def began(events: Sequence[Event]) -> float:
+    """From when on a run is judged by its figures: the last time that members or partners were struck."""
+    strikes = ("cold", "shut", "kill", "term", "never-warm", "crash-loop")
+    return max([0.0, *(one.at for one in events if one.kind == "fault" and one.fields["do"] in strikes)])
+
+
+def outcome(schedule: Schedule, events: Iterable[Event], folder: Path, page: bool) -> int:
+    """Write the figures and the page of a run; 1 where a rule is broken."""
+    all_events = sorted(events, key=lambda one: one.at)
+    judged: Judged = judge(schedule, all_events)
+    figures = summary(all_events, judged, began(all_events), schedule.seconds)
+    (folder / "figures.json").write_text(json.dumps(figures, indent=2) + "\n")
+    (folder / "broken.txt").write_text("".join(f"{one}\n" for one in judged.broken))
+    if page:
+        from mountgauge.lab.rig.page import write_page
+
+        write_page(folder / "run.html", schedule, all_events, judged, figures)
+    for one in judged.broken[:20]:
+        print(f"broken: {one}")
+    print(json.dumps({"name": schedule.name, "seed": schedule.seed, "folder": str(folder), **figures}))
+    return 1 if judged.broken else 0
+
+
+def main(argv: Sequence[str]) -> int:
+    """Exit 0: no rule broken; 1: one was; ConfigError: the schedule cannot be used."""
+    args = _parser().parse_args(argv)
+    if args.lab == "judge":
+        schedule = load(args.folder / "schedule.toml")
+        return outcome(schedule, read(args.folder / "events.jsonl"), args.folder, not args.no_page)
+    schedule = load(args.file)
+    if args.seed is not None:
+        schedule = schedule.with_(seed=args.seed)
+    if args.without:
+        schedule = schedule.with_(comeback=False)
+    folder = args.out or Path("runs") / f"{args.file.stem}-{schedule.seed}"
+    events = play(schedule, folder)
+    (folder / "schedule.toml").write_text(args.file.read_text())
+    if not events.all:
+        print("mountgauge: nothing happened", file=sys.stderr)
+        return 1
+    return outcome(schedule, events, folder, not args.no_page)
--- /dev/null
+++ b/mountgauge/lab/rig/bearing.py
@@ -0,0 +1,95 @@
+"""What a partner bears at each moment: a rate with a depth, cold after an outage, and falling over.
+
+Pure: times in seconds come in, a verdict on each call goes out. A call is counted against a bucket of
+`rate x depth_s` calls that fills by what the partner bears at that moment; a refused call uses
+`refused_cost` of a place up. Cold, it bears `cold_share` of its rate, rising evenly to all of it in
+`warm_s`. With `falls_at`, it starts cold anew whenever `falls_window_s` brought more than `falls_at` times
+what it bore in that window: the partner that a fleet's steady floor keeps down.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Bearing:
+    rate: float  # calls/s, warm
+    depth_s: float = 0.3
+    refused_cost: float = 0.5
+    cold_share: float = 0.2
+    warm_s: float = 5.0
+    falls_at: float = 0.0  # 0: it never falls over
+    falls_window_s: float = 1.0
+    span_s: float = 0.0  # a count in a fixed span of time instead of a bucket; 0: a bucket
+    cold_at: float = -math.inf  # since when it is cold
+    shut_until: float = -math.inf
+    never_warms: bool = False
+    cut: float = 1.0  # part of the rate that holds while the limit is lowered
+    fell: int = 0
+    _room: float = 0.0
+    _filled_at: float = -math.inf
+    _span: int = -1
+    _window: deque[float] = field(default_factory=deque)  # arrival times
+    _borne: deque[tuple[float, float]] = field(default_factory=deque)  # (when, calls/s) samples of the window
+
+    def bears(self, now: float) -> float:
+        """Calls a second that it takes at this moment."""
+        if now < self.shut_until:
+            return 0.0
+        age = 0.0 if self.never_warms else max(0.0, now - self.cold_at)
+        warm = min(1.0, age / self.warm_s) if self.warm_s > 0 else 1.0
+        return self.rate * self.cut * (self.cold_share + (1 - self.cold_share) * warm)
+
+    def could(self, begin: float, end: float, step: float = 0.05) -> float:
+        """Calls that it could bear from `begin` to `end`, by what is known now."""
+        steps = max(1, math.ceil((end - begin) / step))
+        width = (end - begin) / steps
+        return sum(self.bears(begin + (place + 0.5) * width) * width for place in range(steps))
+
+    def go_cold(self, now: float) -> None:
+        self.cold_at = now
+        self._room = min(self._room, self.bears(now) * self.depth_s)
+
+    def shut(self, now: float, for_s: float) -> None:
+        """Shut for so long, and cold once it opens."""
+        self.shut_until = self.cold_at = now + for_s
+        self._room = 0.0
+
+    def call(self, now: float) -> bool:
+        """A call arrives: whether it is taken."""
+        self._falls(now)
+        rate = self.bears(now)
+        if self.span_s > 0:
+            span = int(now // self.span_s)
+            if span != self._span:
+                self._span, self._room = span, rate * self.span_s
+        else:
+            most = max(1.0, rate * self.depth_s)
+            gone = max(0.0, now - self._filled_at) if self._filled_at > -math.inf else self.depth_s
+            self._room = min(most, self._room + rate * gone)
+            self._filled_at = now
+        if self._room >= 1.0:
+            self._room -= 1.0
+            return True
+        self._room = max(-1.0, self._room - self.refused_cost) if rate > 0 else self._room
+        return False
+
+    def _falls(self, now: float) -> None:
+        if self.falls_at <= 0 or now < self.shut_until:
+            return
+        since = now - self.falls_window_s
+        self._window.append(now)
+        self._borne.append((now, self.bears(now)))
+        while self._window and self._window[0] < since:
+            self._window.popleft()
+        while self._borne and self._borne[0][0] < since:
+            self._borne.popleft()
+        borne = sum(rate for _, rate in self._borne) / len(self._borne) * self.falls_window_s
+        if len(self._window) > self.falls_at * max(borne, 1.0):
+            self.fell += 1
+            self.go_cold(now)
+            self._window.clear()
+            self._borne.clear()
--- /dev/null
+++ b/mountgauge/lab/rig/files.py
@@ -0,0 +1,150 @@
+"""What a member of the rig is told: an operator's file, or the platform's configuration. Text out."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from mountgauge.lab.rig.links import Place
+from mountgauge.lab.rig.processes import GOSSIP, RESP, STATUS
+from mountgauge.lab.rig.schedule import Schedule
+
+KEY = "the rig's own gossip key"
+_KIND = "member-dispatch"
+
+
+def operator_file(
+    schedule: Schedule,
+    name: str,
+    host: str,
+    hops: Iterable[tuple[str, int, Place, str]],
+    peers: Iterable[Place],
+    notices: Place,
+) -> str:
+    """`hops`: id, destination, where this member reaches it, state."""
+    fleet = schedule.fleet
+    rates = {partner.dest: partner.told for partner in schedule.partners}
+    text = [
+        f'name = "{name}"',
+        'state = "state"',
+        "[resp]",
+        f'listen = "{host}:{RESP}"',
+        f'notices = "{notices[0]}:{notices[1]}"',
+        "[status]",
+        f'listen = "{host}:{STATUS}"',
+        "[limits]",
+        f"disk_mb = {fleet.disk_mb}",
+        "[rules]",
+        f"senders = {fleet.counted}",
+        f"slots = {fleet.slots}",
+        f"max_open = {fleet.max_open}",
+        f"cold = {fleet.cold_s}",
+    ]
+    if fleet.gossip:
+        listed = ", ".join(f'"{one}:{port}"' for one, port in peers)
+        text += [
+            "[fleet]",
+            'name = "rig"',
+            f'listen = "{host}:{GOSSIP}"',
+            f"peers = [{listed}]",
+            f'keys = ["{KEY}"]',
+            f"interval = {fleet.gossip_interval_s}",
+        ]
+    for tenant in schedule.tenants:
+        text += [
+            "[[tenant]]",
+            f'name = "{tenant.name}"',
+            f"rate = {tenant.rate}",
+            f"burst = {tenant.burst}",
+            f'users = {{ {tenant.name} = "{tenant.name}" }}',
+        ]
+    for grade in schedule.grades:
+        text += [
+            "[[class]]",
+            f'name = "{grade.name}"',
+            f'semantics = "{grade.semantics}"',
+            f"deadline = {grade.deadline_s}",
+            f"aim = {min(grade.aim_s, grade.deadline_s)}",
+            f"repeat_window = {grade.repeat_window_s}",
+            f"worth = {grade.worth}",
+        ]
+    for hop, dest, (at, port), state in hops:
+        text += [
+            "[[next_hop]]",
+            f'id = "{hop}"',
+            f'addr = "{at}:{port}"',
+            f"dest = {dest}",
+            f"rate = {rates[dest]}",
+            f'state = "{state}"',
+        ]
+    if not fleet.comeback:
+        text += ["[comeback]", "enabled = false"]
+    if fleet.extra:
+        text.append(fleet.extra)
+    return "\n".join(text) + "\n"
+
+
+def platform_file(
+    schedule: Schedule, name: str, host: str, discovery: Place, known: Mapping[str, Any]
+) -> str:
+    fleet = schedule.fleet
+    grades = [
+        {
+            "name": one.name,
+            "semantics": one.semantics,
+            "deadline": one.deadline_s,
+            "aim": one.aim_s,
+            "group": "all",
+            "stream": False,
+            "worth": one.worth,
+            "lateWorth": 0.3,
+            "repeatWindow": one.repeat_window_s,
+        }
+        for one in schedule.grades
+    ]
+    settings = {
+        "balancers": fleet.counted,
+        "zone": 0,
+        "tick": 0.005,
+        "discovery": "subscribe",
+        "weights": "nominal",
+        "grades": grades,
+        "localities": [],
+        "shapes": [_KIND],
+        "ceilings": {
+            "attemptsCap": 8,
+            "cancel": True,
+            "connIdle": 5.0,
+            "connectTimeout": 1.5,
+            "maxOpen": fleet.max_open,
+            "maxRetryAfter": 2.0,
+            "mayDuplicate": False,
+            "peers": False,
+            "probes": False,
+            "retryAfter": True,
+            "streamsPerConn": 1,
+        },
+        "extra": {"kindBatch": [1], "losesWorth": "even", "routesApart": [False], "workers": fleet.slots},
+        "obligations": {
+            "answerSlack": 0.02,
+            "askWithin": fleet.ask_within_s,
+            "cold": fleet.cold_s,
+            "drainGrace": 0.25,
+            "fall": 1.5,
+            "fallMultiple": 2.0,
+            "startCapacity": 0.17,
+        },
+        "report": {"fields": [], "via": "off"},
+    }
+    return json.dumps(
+        {
+            "name": name,
+            "listen": f"{host}:{RESP}",
+            "discovery": f"{discovery[0]}:{discovery[1]}",
+            "seed": f"{schedule.seed:x}",
+            "known": known,
+            "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": fleet.disk_mb},
+        }
+    )
--- /dev/null
+++ b/mountgauge/lab/rig/links.py
@@ -0,0 +1,263 @@
+"""Links on loopback: a relay between two parties for TCP, and one between all members for UDP.
+
+Each pair of a sender and another party has its own address, so a stand-in knows who speaks to it
+(`Links.who`) and a fault can strike one pair alone. What a link does to the traffic is decided by
+`weather.Weather`; changing it takes effect at once, also for open connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any, cast
+
+from mountgauge.lab.rig.weather import Weather
+
+HOST = "127.0.0.1"
+Place = tuple[str, int]
+
+
+class _Half(asyncio.Protocol):
+    """One side of a relayed connection; `up` is the side that opened it."""
+
+    def __init__(self, link: Link, up: bool) -> None:
+        self.link, self.up = link, up
+        self.other: _Half | None = None
+        self.transport: asyncio.Transport | None = None
+        self.free_at = 0.0
+        self.waiting: list[bytes] = []  # what came before the other side stood
+        self.ended = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.up:
+            self.link.accepted(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None or self.other.transport is None:
+            self.waiting.append(data)
+        else:
+            self.link.carry(self, data)
+
+    def eof_received(self) -> bool:
+        return False  # a half-closed connection is closed: no party here needs more
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.ended = True
+        self.link.lost(self)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Link:
+    """The address by which `source` reaches `target`, and what happens in between."""
+
+    def __init__(self, source: str, name: str, target: Place, seed: str, who: dict[Place, str]) -> None:
+        self.source, self.name, self.target = source, name, target
+        self.weather = Weather()
+        self.counts: Counter[str] = Counter()
+        self._rng, self._who = random.Random(seed), who
+        self._server: asyncio.Server | None = None
+        self._pairs: set[_Half] = set()  # the sides that opened them
+        self.place: Place = (HOST, 0)
+
+    async def start(self, port: int = 0) -> Place:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Half(self, True), HOST, port, backlog=1024)
+        self.place = self._server.sockets[0].getsockname()[:2]
+        return self.place
+
+    def set(self, weather: Weather) -> None:
+        self.weather = weather
+
+    def accepted(self, near: _Half) -> None:
+        self.counts["connections"] += 1
+        if self.weather.refuse:
+            near.abort()
+            return
+        self._pairs.add(near)
+        if self.weather.reset > 0:
+            self._reset_later(near)
+        asyncio.get_running_loop().create_task(self._connect(near))
+
+    def _reset_later(self, near: _Half) -> None:
+        asyncio.get_running_loop().call_later(self._rng.expovariate(self.weather.reset), self.reset_one, near)
+
+    def reset_one(self, near: _Half) -> None:
+        self.counts["reset"] += 1
+        near.abort()
+        if near.other is not None:
+            near.other.abort()
+
+    async def _connect(self, near: _Half) -> None:
+        while self.weather.quiet(True) and not near.ended:  # it never comes up, and nobody says so
+            await asyncio.sleep(0.05)
+        far = _Half(self, False)
+        own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            own.setblocking(False)
+            own.bind((HOST, 0))
+            self._who[own.getsockname()[:2]] = self.source  # known before the stand-in accepts
+            await asyncio.get_running_loop().sock_connect(own, self.target)
+            await asyncio.get_running_loop().create_connection(lambda: far, sock=own)
+        except OSError:
+            own.close()
+            near.abort()
+            return
+        near.other, far.other = far, near
+        if near.ended:
+            far.abort()
+        for data in near.waiting:
+            self.carry(near, data)
+        near.waiting.clear()
+
+    def carry(self, half: _Half, data: bytes) -> None:
+        """On to the other side, as the weather has it."""
+        if self.weather.quiet(half.up):
+            self.counts["silent_bytes"] += len(data)
+            return
+        loop = asyncio.get_running_loop()
+        arrives, half.free_at = self.weather.stream(len(data), loop.time(), half.free_at, self._rng)
+        assert half.other is not None
+        if arrives <= loop.time():
+            half.other.write(data)
+        else:
+            loop.call_at(arrives, half.other.write, data)
+
+    def lost(self, half: _Half) -> None:
+        """A close goes on to the other side, unless that direction is silent."""
+        if half.up:
+            self._pairs.discard(half)
+        other = half.other
+        if other is not None and not other.ended and not self.weather.quiet(half.up):
+            late = max(0.0, half.free_at - asyncio.get_running_loop().time())
+            asyncio.get_running_loop().call_later(late, other.abort)
+
+    def reset_all(self) -> None:
+        for near in list(self._pairs):
+            self.reset_one(near)
+
+    @property
+    def open(self) -> int:
+        return len(self._pairs)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+
+class _Hole(asyncio.DatagramProtocol):
+    """The relay's address of member `to`, as member `source` knows it."""
+
+    def __init__(self, relay: Relay, source: int, to: int) -> None:
+        self.relay, self.source, self.to = relay, source, to
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.relay.pass_on(self.source, self.to, data)
+
+
+def _same(hole: _Hole) -> _Hole:
+    return hole
+
+
+class Relay:
+    """UDP between each pair of members: what arrives at a hole goes to the other member from the address by
+    which that one knows the first, so the relay looks to both like a NAT.
+    """
+
+    def __init__(
+        self,
+        members: Sequence[Place],
+        loss: float = 0.0,
+        delay: float = 0.0,
+        seed: int | str = 1,
+        jitter: float = 0.0,
+        doubled: float = 0.0,
+    ) -> None:
+        """Times in seconds, `loss` and `doubled` as shares of the datagrams."""
+        self.members = list(members)
+        self.weather = Weather(drop=loss, delay_s=delay, jitter_s=jitter, double=doubled)
+        self.between: dict[tuple[int, int], Weather] = {}  # where it differs for one pair and direction
+        self.split: set[int] = set()  # members that are cut off from the rest
+        self.groups: list[set[int]] = []  # more than two parts: only those of one group hear each other
+        self.passed = self.lost = self.bytes = 0
+        self._rng = random.Random(seed)
+        self._holes: dict[tuple[int, int], _Hole] = {}
+
+    async def start(self) -> dict[tuple[int, int], Place]:
+        """The address by which the first of each pair knows the second."""
+        loop = asyncio.get_running_loop()
+        found = {}
+        for source in range(len(self.members)):
+            for to in range(len(self.members)):
+                if source != to:
+                    hole = _Hole(self, source, to)
+                    transport, _ = await loop.create_datagram_endpoint(
+                        partial(_same, hole), local_addr=(HOST, 0)
+                    )
+                    self._holes[source, to] = hole
+                    found[source, to] = transport.get_extra_info("sockname")[:2]
+        return found
+
+    def apart(self, source: int, to: int) -> bool:
+        if (source in self.split) != (to in self.split):
+            return True
+        return bool(self.groups) and not any(source in group and to in group for group in self.groups)
+
+    def pass_on(self, source: int, to: int, data: bytes) -> None:
+        self.bytes += len(data)
+        weather = self.between.get((source, to), self.weather)
+        late = [] if self.apart(source, to) else weather.datagram(True, self._rng)
+        self.lost += not late
+        for after in late:
+            self.passed += 1
+            asyncio.get_running_loop().call_later(after, self._send, source, to, data)
+
+    def _send(self, source: int, to: int, data: bytes) -> None:
+        # From the address by which the receiver knows the sender.
+        hole = self._holes[to, source]
+        if hole.transport is not None and not hole.transport.is_closing():
+            hole.transport.sendto(data, self.members[to])
+
+    def close(self) -> None:
+        for hole in self._holes.values():
+            if hole.transport is not None:
+                hole.transport.close()
+
+
+class Links:
+    """All TCP links of a rig, by whose they are and to whom."""
+
+    def __init__(self, seed: int) -> None:
+        self.all: dict[tuple[str, str], Link] = {}
+        self.who: dict[Place, str] = {}  # which member a connection at a stand-in is from
+        self._seed = seed
+
+    async def add(self, source: str, name: str, target: Place, port: int = 0) -> Place:
+        link = Link(source, name, target, f"{self._seed}/{source}/{name}", self.who)
+        self.all[source, name] = link
+        return await link.start(port)
+
+    def between(self, first: Callable[[str], bool], second: Callable[[str], bool]) -> list[Link]:
+        return [link for (one, other), link in self.all.items() if first(one) and second(other)]
+
+    def close(self) -> None:
+        for link in self.all.values():
+            with contextlib.suppress(OSError):
+                link.close()
--- /dev/null
+++ b/mountgauge/lab/rig/mutants.py
@@ -0,0 +1,130 @@
+"""Senders that break one rule each: the oracle must name every one of them, or its silence proves nothing.
+
+    python -m mountgauge.lab.rig.mutants NAME run FILE
+
+`MUTANTS` maps each name to the rule that it breaks and to what is changed in the program before it starts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from mountgauge import next_hops, notices
+from mountgauge.cli import main
+from mountgauge.core import sender as core
+from mountgauge.core.journal import Journal
+from mountgauge.core.ports import Call, End, Status
+from mountgauge.next_hops import HttpNextHops
+from rillspindle import interface
+from rillspindle.interface import Readiness
+
+
+def _forgets() -> None:
+    """Says +OK without a record: what it holds is gone with its process."""
+    take = Journal.take
+
+    def forgetful(self: Journal, stored: Any) -> None:
+        self.live[stored.id] = stored
+
+    setattr(Journal, "take", forgetful)  # noqa: B010
+    assert take is not None
+
+
+def _never_tells() -> None:
+    """Gives up without a notice."""
+
+    def tell(self: Any, msg_id: str, end: End, told: Callable[[], None]) -> None:
+        told()
+
+    setattr(notices.Notices, "tell", tell)  # noqa: B010
+
+
+def _tells_two_ends() -> None:
+    """Tells a deferred message as undeliverable as well."""
+    tell = notices.Notices.tell
+
+    def both(self: Any, msg_id: str, end: End, told: Callable[[], None]) -> None:
+        tell(self, msg_id, end, told)
+        if end.status is Status.DEFERRED:
+            later = End(Status.UNDELIVERABLE)
+            asyncio.get_running_loop().call_later(0.2, tell, self, msg_id, later, lambda: None)
+
+    setattr(notices.Notices, "tell", both)  # noqa: B010
+
+
+def _two_out() -> None:
+    """Calls a second time on another connection while the first call is out."""
+    start = HttpNextHops.start
+
+    def twice(self: HttpNextHops, call: Call) -> None:
+        start(self, call)
+        asyncio.get_running_loop().create_task(_copy(call))
+
+    setattr(HttpNextHops, "start", twice)  # noqa: B010
+
+
+async def _copy(call: Call) -> None:
+    item = call.items[0]
+    try:
+        reader, writer = await asyncio.open_connection(call.hop.host, call.hop.port)
+        head = f"POST /hook HTTP/1.1\r\nX-Trace-Id: {item.id}\r\nContent-Length: {len(item.body)}\r\n\r\n"
+        writer.write(head.encode() + item.body)
+        await reader.readline()
+        writer.close()
+    except OSError:
+        pass
+
+
+def _repeats() -> None:
+    """Takes every class for one that may be repeated freely."""
+    grade = interface.Grade
+
+    def lax(**fields: Any) -> interface.Grade:
+        return grade(**{**fields, "semantics": "idempotent"})
+
+    setattr(interface, "Grade", lax)  # noqa: B010
+
+
+def _deaf_to_waits() -> None:
+    """Does not read how long it is told to wait."""
+    setattr(next_hops, "wait_s", lambda message: 0.0)  # noqa: B010
+
+
+def _deaf_to_drains() -> None:
+    """Goes on sending to endpoints that are told to leave."""
+    learn = core.Sender.list_changed
+
+    def deaf(self: core.Sender, update: Any) -> None:
+        hops = tuple(hop._replace(entry=hop.entry._replace(readiness=Readiness.READY)) for hop in update.hops)
+        learn(self, type(update)(update.version, False, hops))
+
+    setattr(core.Sender, "list_changed", deaf)  # noqa: B010
+
+
+def _late() -> None:
+    """Sits on the ends that it has to tell until long after the message's time."""
+    tell = notices.Notices.tell
+
+    def late(self: Any, msg_id: str, end: End, told: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(6.0, tell, self, msg_id, end, told)
+
+    setattr(notices.Notices, "tell", late)  # noqa: B010
+
+
+MUTANTS: dict[str, tuple[str, Callable[[], None]]] = {
+    "forgets": ("final", _forgets),
+    "never-tells": ("final", _never_tells),
+    "late": ("final", _late),
+    "tells-two-ends": ("ends", _tells_two_ends),
+    "two-out": ("two-out", _two_out),
+    "repeats": ("repeat", _repeats),
+    "deaf-to-waits": ("wait", _deaf_to_waits),
+    "deaf-to-drains": ("drain", _deaf_to_drains),
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]][1]()
+    sys.exit(main(sys.argv[2:]))
--- /dev/null
+++ b/mountgauge/lab/rig/oracle.py
@@ -0,0 +1,280 @@
+"""Judges what went over the links by the rules, without a look at the program.
+
+Each verdict names the rule, the time, the member and the message. The rules:
+
+- `final`: a message that was taken on gets one end, delivered or told by a notice, no later than `LATE_S`
+  after its time; from a member's death until `EXCUSED_S` after it serves again nothing of its own is
+  overdue.
+- `ends`: two notices of one message do not tell two different ends.
+- `two-out`: no call of a message arrives while another one of it is out on an open connection.
+- `repeat`: `at_most_once` is never called again once it may have run, `deduplicated` only within its
+  window.
+- `attempts`: no more calls of a message than the settings allow.
+- `wait`: a member that was told to wait sends nothing there until the wait is over; its restart ends the
+  wait.
+- `drain`: nothing new to an endpoint later than `DRAIN_S` after the member was told that it drains or is
+  gone.
+
+What a member's folder lost cannot be kept: such messages are counted apart (`Judged.with_folder`), and so
+are repeats after the loss. `slack_s` is what the links themselves may add.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from mountgauge.lab.rig.events import Event
+from mountgauge.lab.rig.schedule import Schedule
+
+LATE_S = 0.35
+EXCUSED_S = 1.5
+DRAIN_S = 0.3
+WAIT_SLACK_S = 0.1
+OUT_SLACK_S = 0.15  # a close is noticed no sooner
+ATTEMPTS = 8
+_NEVER_RAN = (429, 503)
+_LOSING = ("lost", "old", "cut", "foreign", "swapped")
+
+
+class Broken(NamedTuple):
+    rule: str
+    at: float
+    member: str
+    id: str
+    why: str
+
+    def __str__(self) -> str:
+        return f"{self.rule} at {self.at:.3f} s, {self.member}, message {self.id}: {self.why}"
+
+
+@dataclass(slots=True)
+class Call:
+    number: int
+    at: float
+    member: str
+    endpoint: str
+    id: str
+    dest: int
+    ended: float | None = None
+    status: int | None = None  # None: no answer
+    muffled: bool = False  # its end could not be heard
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.status not in _NEVER_RAN
+
+
+@dataclass(slots=True)
+class Judged:
+    broken: list[Broken] = field(default_factory=list)
+    with_folder: int = 0  # messages whose folder was lost: their end is not owed
+    repeats_after_loss: int = 0
+    taken: int = 0
+    delivered: int = 0
+    ends: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def rules(self) -> Counter[str]:
+        return Counter(one.rule for one in self.broken)
+
+
+def slack(schedule: Schedule) -> float:
+    """s that the schedule's links may add to what is seen at the stand-ins."""
+    late = [f.weather.get("delay_s", 0.0) + f.weather.get("jitter_s", 0.0) for f in schedule.faults]
+    return 2 * max(late, default=0.0)
+
+
+def judge(schedule: Schedule, events: Iterable[Event], slack_s: float = 0.0) -> Judged:
+    """`slack_s`: what a busy machine may add to what the links do."""
+    return _Judge(schedule, sorted(events, key=lambda one: one.at), slack_s).judge()
+
+
+class _Judge:
+    def __init__(self, schedule: Schedule, events: list[Event], slack_s: float) -> None:
+        self.schedule, self.events = schedule, events
+        self.grades = {grade.name: grade for grade in schedule.grades}
+        self.slack = slack(schedule) + slack_s
+        self.found = Judged()
+        self.calls: dict[int, Call] = {}
+        self.by_id: dict[str, list[Call]] = defaultdict(list)
+        self.handed: dict[str, Event] = {}
+        self.taken: dict[str, Event] = {}
+        self.notices: dict[str, list[Event]] = defaultdict(list)
+        self.down: dict[str, list[tuple[float, float]]] = defaultdict(list)  # from its death until it serves
+        self.losses: dict[str, list[float]] = defaultdict(list)  # when a member's folder was not kept
+        self._open_downs: dict[str, float] = {}
+        self.end_at = events[-1].at if events else 0.0
+
+    def judge(self) -> Judged:
+        for event in self.events:
+            self._read(event)
+        for name, began in list(self._open_downs.items()):
+            self.down[name].append((began, self.end_at + EXCUSED_S))
+        for msg_id, taken in self.taken.items():
+            self._final(msg_id, taken)
+        for msg_id, calls in self.by_id.items():
+            self._out(msg_id, calls)
+            self._repeats(msg_id, calls)
+        self._waits()
+        self._drains()
+        self.found.broken.sort(key=lambda one: one.at)
+        return self.found
+
+    def _read(self, event: Event) -> None:
+        f = event.fields
+        match event.kind:
+            case "handed":
+                self.handed[f["id"]] = event
+            case "taken":
+                self.taken[f["id"]] = event
+            case "call":
+                call = Call(f["call"], event.at, f["member"], f["endpoint"], f["id"], f["dest"])
+                self.calls[call.number] = call
+                self.by_id[call.id].append(call)
+            case "answer" if (call_ := self.calls.get(f["call"])) is not None:
+                call_.ended, call_.status = event.at, f["status"]
+            case "broken" if (call_ := self.calls.get(f["call"])) is not None:
+                call_.ended = event.at
+            case "muffled":
+                for one in self.calls.values():
+                    if one.ended is None and (one.member, one.endpoint) == (f["member"], f["endpoint"]):
+                        one.muffled, one.ended = True, event.at
+            case "notice":
+                self.notices[f["id"]].append(event)
+            case "fault" if f["do"] in ("kill", "term", "crash-loop"):
+                for place, name in enumerate(f["who"]):
+                    if f["folder"][place % len(f["folder"])] in _LOSING:
+                        self.losses[name].append(event.at)
+            case "fault" if f["do"] == "empty-folder":
+                for name in f["who"]:
+                    self.losses[name].append(event.at)
+            case "paused":
+                self.down[f["member"]].append((event.at, event.at + f["for_s"] + EXCUSED_S))
+            case "gone":
+                self._open_downs.setdefault(f["member"], event.at)
+            case "ready":
+                if (began := self._open_downs.pop(f["member"], None)) is not None:
+                    self.down[f["member"]].append((began, event.at + EXCUSED_S))
+
+    def _excused(self, member: str, at: float) -> float:
+        """Until when what falls due at `at` is not overdue, for the member was away."""
+        until = at
+        for began, ended in sorted(self.down[member]):
+            if began - 0.01 <= until + LATE_S and ended > until:
+                until = ended
+        return until
+
+    def _lost_after(self, member: str, at: float) -> bool:
+        return any(when >= at for when in self.losses[member])
+
+    def _broken(self, rule: str, at: float, member: str, msg_id: str, why: str) -> None:
+        self.found.broken.append(Broken(rule, at, member, msg_id, why))
+
+    def _final(self, msg_id: str, taken: Event) -> None:
+        """One end, in time."""
+        member = taken.fields["member"]
+        self.found.taken += 1
+        handed = self.handed.get(msg_id, taken)
+        due = handed.at + taken.fields["left"]
+        delivered = [
+            call.ended for call in self.by_id[msg_id] if call.status == 200 and call.ended is not None
+        ]
+        notices = self.notices[msg_id]
+        ends = sorted([*delivered, *(one.at for one in notices)])
+        statuses = {one.fields["status"] for one in notices}
+        if len(statuses) > 1:
+            self._broken(
+                "ends", notices[-1].at, member, msg_id, f"told as {' and as '.join(sorted(statuses))}"
+            )
+        if delivered:
+            self.found.delivered += 1
+        for status in statuses:
+            self.found.ends[status] += 1
+        if ends and ends[0] <= self._excused(member, due) + LATE_S + self.slack:
+            return
+        if self._lost_after(member, taken.at):
+            self.found.with_folder += 1
+        elif ends:
+            self._broken(
+                "final", ends[0], member, msg_id, f"its end came {ends[0] - due:.3f} s after its time"
+            )
+        elif self._excused(member, due) + LATE_S + self.slack < self.end_at:
+            self._broken("final", due, member, msg_id, "no end by its time")
+
+    def _out(self, msg_id: str, calls: list[Call]) -> None:
+        for first, second in itertools.pairwise(calls):
+            ended = first.ended if first.ended is not None else self.end_at
+            if ended > second.at + OUT_SLACK_S + self.slack and not first.muffled:
+                why = f"call {first.number} to {first.endpoint} still out as {second.number} came"
+                self._broken("two-out", second.at, second.member, msg_id, why)
+        if len(calls) > ATTEMPTS:
+            self._broken("attempts", calls[-1].at, calls[-1].member, msg_id, f"{len(calls)} calls")
+
+    def _repeats(self, msg_id: str, calls: list[Call]) -> None:
+        if (handed := self.handed.get(msg_id)) is None:
+            call = calls[0]
+            self._broken("unasked", call.at, call.member, msg_id, "nobody handed it in")
+            return
+        grade = self.grades[handed.fields["grade"]]
+        ran: Call | None = None
+        for call in calls:
+            if ran is not None:
+                late = call.at - ran.at
+                bad = grade.semantics == "at_most_once" or (
+                    grade.semantics == "deduplicated" and late > grade.repeat_window_s + self.slack
+                )
+                if bad and self._lost_after(call.member, ran.at):
+                    self.found.repeats_after_loss += 1
+                elif bad:
+                    why = f"{grade.semantics}, called again {late:.3f} s after call {ran.number}"
+                    self._broken("repeat", call.at, call.member, msg_id, why)
+            if ran is None and call.may_have_run:
+                ran = call
+
+    def _starts(self, member: str) -> list[float]:
+        return [
+            event.at for event in self.events if event.kind == "start" and event.fields["member"] == member
+        ]
+
+    def _waits(self) -> None:
+        waits: dict[tuple[str, int], list[tuple[float, float]]] = defaultdict(list)
+        for event in self.events:
+            if event.kind == "answer" and event.fields.get("wait", 0) > 0:
+                began = event.at + WAIT_SLACK_S + self.slack
+                waits[event.fields["member"], event.fields["dest"]].append(
+                    (began, event.at + event.fields["wait"])
+                )
+        starts = {member: self._starts(member) for member, _ in waits}
+        for call in self.calls.values():
+            for began, ended in waits.get((call.member, call.dest), ()):
+                if began < call.at < ended - 0.005 and not any(
+                    began - WAIT_SLACK_S < at <= call.at for at in starts[call.member]
+                ):
+                    why = f"told to wait until {ended:.3f}"
+                    self._broken("wait", call.at, call.member, call.id, why)
+                    break
+
+    def _drains(self) -> None:
+        """By the lists that were written to each member, in order."""
+        shut: dict[tuple[str, str], float] = {}  # since when an endpoint is told to be leaving or gone
+        known: dict[str, set[str]] = defaultdict(set)
+        for event in self.events:
+            f = event.fields
+            if event.kind == "told":
+                states = f["states"]
+                known[f["member"]] |= set(states)
+                for name in known[f["member"]]:
+                    state = states.get(name, "left" if f["full"] else "")
+                    if state in ("leaving", "left"):
+                        shut.setdefault((f["member"], name), event.at)
+                    elif state == "active":
+                        shut.pop((f["member"], name), None)
+            elif event.kind == "call":
+                since = shut.get((f["member"], f["endpoint"]))
+                if since is not None and event.at > since + DRAIN_S + self.slack:
+                    why = f"{f['endpoint']} was told to leave {event.at - since:.3f} s before"
+                    self._broken("drain", event.at, f["member"], f["id"], why)
--- /dev/null
+++ b/mountgauge/lab/rig/play.py
@@ -0,0 +1,449 @@
+"""Plays a schedule: starts members, stand-ins and links, lets the load run, strikes, and keeps what
+happened.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Callable, Mapping
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from mountgauge.lab.rig import files
+from mountgauge.lab.rig.events import Events
+from mountgauge.lab.rig.links import HOST, Link, Links, Place, Relay
+from mountgauge.lab.rig.processes import GOSSIP, RESP, Member, hosts
+from mountgauge.lab.rig.schedule import (
+    ON_CLIENTS,
+    ON_DISCOVERY,
+    ON_MEMBERS,
+    ON_PARTNERS,
+    Fault,
+    Schedule,
+    chosen,
+)
+from mountgauge.lab.rig.stands import Clients, Door, Listed, PartnerStand, Platform
+from mountgauge.lab.rig.weather import Weather
+
+_BEARS_EVERY = 0.05  # s between two records of what a partner bears
+_KEPT_LINES = (
+    "phase",
+    "full-service",
+    "held-up",
+    "stale",
+    "remembered-dropped",
+    "new-life",
+    "ready",
+    "restored",
+    "budget",
+    "paused",
+    "folder",
+)
+_RIGS = itertools.count(os.getpid())
+
+
+class Play:
+    def __init__(self, schedule: Schedule, folder: Path, command: list[str] | None = None) -> None:
+        """`command`: what stands after the interpreter in place of `-m mountgauge`, for mutated senders."""
+        self.schedule, self.folder = schedule, folder
+        self.events = Events(time.monotonic)
+        self.links = Links(schedule.seed)
+        self.partners = {spec.dest: PartnerStand(spec, self.events, self._who) for spec in schedule.partners}
+        self.platform = Platform(self.events, self._who, self._place_of)
+        places = hosts(schedule.fleet.members, next(_RIGS))
+        self.members = {
+            name: Member(name, host, folder / name, self.events, watch=self._line)
+            for name, host in zip(schedule.names, places, strict=True)
+        }
+        self.command = command or ["-m", "mountgauge"]
+        self.relay: Relay | None = None
+        self.peers: dict[tuple[int, int], Place] = {}
+        self.doors: dict[tuple[str, str], Door] = {}
+        self.clients: list[Clients] = []
+        self._last: list[str] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.errors: list[str] = []
+
+    def _who(self, peer: Any) -> str:
+        return self.links.who.get(tuple(peer[:2]), "?") if peer else "?"
+
+    def _place_of(self, member: str, endpoint: str) -> Place:
+        return self.links.all[member, endpoint].place
+
+    def _line(self, member: str, pairs: Mapping[str, str]) -> None:
+        event = pairs.get("event", "")
+        if event.startswith(_KEPT_LINES) or pairs.get("level") in ("error", "critical"):
+            rest = {key: value for key, value in pairs.items() if key not in ("ts", "level", "at", "event")}
+            self.events.add("log", member=member, event=event, level=pairs.get("level", ""), pairs=rest)
+
+    # Setting up
+
+    async def start(self) -> None:
+        """Everything stands, the members serve, the load begins; time 0 comes `settle_s` later."""
+        schedule = self.schedule
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        await self.platform.start()
+        for partner in self.partners.values():
+            for endpoint in partner.endpoints:
+                await endpoint.start()
+        for name, member in self.members.items():
+            member.folder.mkdir(parents=True)
+            await self.links.add(name, "discovery", self.platform.place)
+            await self.links.add("clients", name, (member.host, RESP))
+            for partner in self.partners.values():
+                for endpoint in partner.endpoints:
+                    await self.links.add(name, endpoint.id, endpoint.place)
+        if schedule.fleet.gossip:
+            self.relay = Relay(
+                [(one.host, GOSSIP) for one in self.members.values()], seed=f"{schedule.seed}/relay"
+            )
+            self.peers = await self.relay.start()
+        self.platform.change(
+            {
+                endpoint.id: Listed(endpoint.id, partner.spec.dest, partner.spec.told)
+                for partner in self.partners.values()
+                for endpoint in partner.endpoints
+            }
+        )
+        for member in self.members.values():
+            self._write(member)
+        await asyncio.gather(*(self._up(member) for member in self.members.values()))
+        self._spawn(self._bearings())
+        for load in schedule.loads:
+            grade = next(one for one in schedule.grades if one.name == load.grade)
+            for name in schedule.names:
+                door = self.doors.setdefault(
+                    (name, load.tenant),
+                    Door(name, self.links.all["clients", name], self.events, user=load.tenant),
+                )
+                seed = f"{schedule.seed}/{name}/{load.dest}/{load.grade}/{load.tenant}"
+                self.clients.append(Clients(load, door, grade.deadline_s, seed))
+        self.events.begin(-schedule.settle_s)
+        for one in self.clients:
+            self._spawn(one.run(schedule.seconds))
+
+    def _write(self, member: Member) -> None:
+        """The member's file, in one piece; what it says of endpoints counts as told from then on."""
+        schedule, name = self.schedule, member.name
+        if schedule.fleet.front == "platform":
+            path = member.folder / "config.json"
+            text = files.platform_file(
+                schedule,
+                name,
+                member.host,
+                self.links.all[name, "discovery"].place,
+                self.platform.last.get(name) or self.platform.as_json(name),
+            )
+            member.env = {"GW_CONFIG": str(path), "GW_STATE": str(member.state), "GW_NAME": name}
+            member.command = [*self.command]
+        else:
+            path = member.folder / "sender.toml"
+            hops = [
+                (one.id, one.dest, self._place_of(name, one.id), one.state)
+                for one in self.platform.entries.values()
+            ]
+            place = schedule.names.index(name)
+            peers = [at for (source, _), at in self.peers.items() if source == place]
+            text = files.operator_file(
+                schedule, name, member.host, hops, peers, self.links.all[name, "discovery"].place
+            )
+            member.command = [*self.command, "run", str(path)]
+        spare = path.with_suffix(".new")
+        spare.write_text(text)
+        os.replace(spare, path)
+        if schedule.fleet.front == "operator" or not member.lives:
+            self.platform.told(name, self.platform.as_json(name))
+
+    async def _up(self, member: Member) -> None:
+        if self.schedule.fleet.front == "platform" and member.lives:  # it gets the list as it last had it
+            self._write(member)
+        await member.start()
+        await member.ready()
+
+    def _spawn(self, work: Any) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(self._kept(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _kept(self, work: Any) -> None:
+        try:
+            await work
+        except (OSError, RuntimeError) as error:
+            self.errors.append(str(error))
+            self.events.add("rig-error", error=str(error))
+
+    async def _bearings(self) -> None:
+        while True:
+            for partner in self.partners.values():
+                partner.log_bearing()
+            await asyncio.sleep(_BEARS_EVERY)
+
+    # The play
+
+    async def run(self) -> Events:
+        """The whole schedule; what happened."""
+        schedule = self.schedule
+        try:
+            await self.start()
+            for place in sorted(range(len(schedule.faults)), key=lambda one: schedule.faults[one].at):
+                fault = schedule.faults[place]
+                await asyncio.sleep(max(0.0, fault.at - self.events.now))
+                await self.strike(place)
+            await asyncio.sleep(max(0.0, schedule.seconds + schedule.drain_s - self.events.now))
+        finally:
+            await self.stop()
+        return self.events
+
+    async def strike(self, place: int) -> None:
+        fault = self.schedule.faults[place]
+        if fault.do in ON_MEMBERS:
+            who = chosen(self.schedule, place, self._last)
+            self._last = who
+            self.events.add("fault", do=fault.do, who=who, back_s=fault.back_s, folder=list(fault.folder))
+            await self._on_members(fault, who, place)
+        else:
+            self.events.add(
+                "fault", do=fault.do, dest=fault.dest, for_s=fault.for_s, between=list(fault.between)
+            )
+            if fault.do in ON_PARTNERS:
+                await self._on_partner(fault)
+                self.partners[fault.dest].log_bearing()
+            elif fault.do in ON_DISCOVERY:
+                self._on_discovery(fault)
+            elif fault.do in ON_CLIENTS:
+                self._on_clients(fault)
+            elif fault.do == "split":
+                self._split(fault)
+            else:
+                self._on_links(fault)
+
+    async def _on_members(self, fault: Fault, who: list[str], place: int) -> None:
+        members = [self.members[name] for name in who]
+        rng = self.schedule.rng(f"fault/{place}")
+        match fault.do:
+            case "save-folder":
+                for member in members:
+                    member.save()
+            case "empty-folder":
+                for member in members:
+                    member.empty()
+            case "pause":
+                for member in members:
+                    member.signal(signal.SIGSTOP)
+                    self.events.add("paused", member=member.name, for_s=fault.for_s)
+                self._later(fault.for_s, partial(_resume, members))
+            case "start":
+                for member in members:
+                    self._spawn(self._up(member))
+            case "crash-loop":
+                for member in members:
+                    self._spawn(self._crash_loop(member, fault))
+            case _:
+                number = signal.SIGKILL if fault.do == "kill" else signal.SIGTERM
+                for member in members:
+                    member.wanted = False
+                    member.signal(number)
+                if fault.back_s >= 0:
+                    self._spawn(self._back(fault, members, rng.random()))
+
+    async def _crash_loop(self, member: Member, fault: Fault) -> None:
+        for _ in range(fault.times):
+            member.wanted = False
+            member.signal(signal.SIGKILL)
+            await member.ended()
+            await asyncio.sleep(max(0.0, fault.back_s))
+            member.wanted = True
+            await member.start()
+            await asyncio.sleep(fault.for_s)
+        await member.ready()
+
+    async def _back(self, fault: Fault, members: list[Member], seed: float) -> None:
+        await asyncio.gather(*(member.ended() for member in members))
+        await asyncio.sleep(fault.back_s)
+        rng = self.schedule.rng(f"folders/{seed}")
+        for place, member in enumerate(members):
+            match fault.folder[place % len(fault.folder)]:
+                case "lost":
+                    member.lose()
+                case "old":
+                    member.put_back()
+                case "cut":
+                    member.cut(rng)
+                case "foreign":
+                    member.take_from(members[(place + 1) % len(members)])
+                case "swapped" if place % 2 == 0 and place + 1 < len(members):
+                    member.swap(members[place + 1])
+        gap = fault.over_s / max(1, len(members) - 1)
+
+        def late(place: int) -> float:
+            """s after the first at which this one starts."""
+            if fault.start == "together":
+                return 0.0
+            return place * gap if fault.start == "one-by-one" else rng.uniform(0.0, fault.over_s)
+
+        async def start(member: Member, after: float) -> None:
+            await asyncio.sleep(after)
+            member.wanted = True
+            await self._up(member)
+
+        await asyncio.gather(*(start(member, late(place)) for place, member in enumerate(members)))
+
+    def _later(self, after: float, then: Callable[[], object]) -> None:
+        asyncio.get_running_loop().call_later(after, then)
+
+    async def _on_partner(self, fault: Fault) -> None:
+        partner, now = self.partners[fault.dest], self.events.now
+        bearing = partner.bearing
+        match fault.do:
+            case "cold":
+                bearing.go_cold(now)
+            case "shut":
+                bearing.shut(now, fault.for_s)
+                partner.wait_s = fault.wait_s
+            case "limit":
+                bearing.cut = fault.share
+                self._later(fault.for_s, lambda: setattr(bearing, "cut", 1.0))
+            case "never-warm":
+                bearing.never_warms = True
+                bearing.go_cold(now)
+            case "silent" | "error" | "spoilt":
+                partner.mode = fault.do
+                self._later(fault.for_s, lambda: setattr(partner, "mode", ""))
+            case "add":
+                endpoint = partner.new_endpoint()
+                await endpoint.start()
+                for name in self.members:
+                    await self.links.add(name, endpoint.id, endpoint.place)
+                listed = Listed(endpoint.id, fault.dest, partner.spec.told)
+                self._list({**self.platform.entries, endpoint.id: listed})
+            case "drain" | "remove":
+                endpoint = partner.endpoints[fault.endpoint]
+                entries = dict(self.platform.entries)
+                if fault.do == "drain":
+                    entries[endpoint.id] = Listed(endpoint.id, fault.dest, partner.spec.told, "leaving")
+                else:
+                    entries.pop(endpoint.id, None)
+                self._list(entries)
+
+    def _list(self, entries: Mapping[str, Listed]) -> None:
+        self.platform.change(entries)
+        if self.schedule.fleet.front == "operator":
+            for member in self.members.values():
+                self._write(member)
+
+    def _on_discovery(self, fault: Fault) -> None:
+        platform = self.platform
+        match fault.do:
+            case "discovery-down":
+                platform.set_down(True)
+                self._later(fault.for_s, lambda: platform.set_down(False))
+            case "discovery-slow":
+                platform.slow_s = fault.wait_s
+                self._later(fault.for_s, lambda: setattr(platform, "slow_s", 0.0))
+            case "discovery-limited":
+                platform.cost_s = fault.wait_s
+                self._later(fault.for_s, lambda: setattr(platform, "cost_s", 0.0))
+            case _:
+                platform.older = max(1, fault.count if fault.count != 50 else 1)
+                self._later(fault.for_s, lambda: setattr(platform, "older", 0))
+
+    def _on_clients(self, fault: Fault) -> None:
+        if fault.do == "reconnect":
+            for door in self.doors.values():
+                self._spawn(door.reconnect(fault.count))
+            return
+        at_dest = [one for one in self.clients if one.load.dest == fault.dest]
+        for place in range(fault.count):
+            at_dest[place % len(at_dest)].offer()
+
+    def _parties(self, name: str) -> Any:
+        """Whether a link's end is meant by a name of the schedule."""
+        if name == "members":
+            return lambda one: one in self.members
+        if name == "partners":
+            return lambda one: one.startswith("e")
+        if name.startswith("partner:"):
+            return lambda one: one.startswith(f"e{name.partition(':')[2]}-")
+        return lambda one: one == name
+
+    def _on_links(self, fault: Fault) -> None:
+        first, second = fault.between
+        weather = Weather().but(fault.weather)
+        if first == "members" and second == "members" and self.relay is not None:
+            relay, had = self.relay, self.relay.weather
+            relay.weather = weather
+            if fault.for_s > 0:
+                self._later(fault.for_s, lambda: setattr(relay, "weather", had))
+            return
+        links = self.links.between(self._parties(first), self._parties(second))
+        for link in links:
+            link.set(weather)
+            if weather.reset >= 1000:  # all at once
+                link.reset_all()
+        if fault.for_s > 0:
+            self._later(fault.for_s, partial(_clear, links))
+
+    def _split(self, fault: Fault) -> None:
+        if self.relay is None:
+            return
+        names, relay = self.schedule.names, self.relay
+        relay.groups = [{names.index(one) for one in group if one in names} for group in fault.groups]
+        if fault.for_s > 0:
+            self._later(fault.for_s, lambda: setattr(relay, "groups", []))
+
+    async def stop(self) -> None:
+        for one in self.clients:
+            await one.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for member in self.members.values():
+            member.wanted = False
+            if member.paused:
+                member.signal(signal.SIGCONT)
+            member.signal(signal.SIGKILL)
+        for member in self.members.values():
+            await member.ended()
+        for door in self.doors.values():
+            door.close()
+        self.links.close()
+        if self.relay is not None:
+            self.relay.close()
+        for partner in self.partners.values():
+            for endpoint in partner.endpoints:
+                endpoint.stop()
+        self.platform.stop()
+        await asyncio.sleep(0)
+
+
+def _resume(members: list[Member]) -> None:
+    for member in members:
+        member.signal(signal.SIGCONT)
+
+
+def _clear(links: list[Link]) -> None:
+    for link in links:
+        link.set(Weather())
+
+
+def play(schedule: Schedule, folder: Path, command: list[str] | None = None) -> Events:
+    """Run a schedule to its end in this process; RuntimeError where the rig itself failed."""
+    one = Play(schedule, folder, command)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(one.run())
+    one.events.write(folder / "events.jsonl")
+    if one.errors:
+        print("rig: " + "; ".join(one.errors[:5]), file=sys.stderr)
+    return one.events
+
+
+__all__ = ["HOST", "Play", "play"]
--- /dev/null
+++ b/mountgauge/lab/rig/schedule.py
@@ -0,0 +1,327 @@
+"""A schedule: the fleet, its stand-ins, its load and the faults between them, read from TOML and checked.
+
+Everything here is data. `load` refuses what it does not know with one line (`ConfigError`); `chosen` draws
+who is meant by a fault from the schedule's seed, so that one seed always means the same members. Times are
+in seconds from the moment all members serve.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from fnmatch import fnmatch
+from pathlib import Path
+from typing import Any, TypeVar
+
+from mountgauge.core.config import ConfigError
+from mountgauge.settings_table import Table, read
+
+_T = TypeVar("_T")
+
+FOLDERS = ("kept", "lost", "old", "cut", "swapped", "foreign")
+STARTS = ("together", "spread", "one-by-one")
+ON_MEMBERS = ("kill", "term", "pause", "start", "empty-folder", "save-folder", "crash-loop")
+ON_PARTNERS = ("cold", "shut", "limit", "silent", "error", "spoilt", "never-warm", "drain", "remove", "add")
+ON_DISCOVERY = ("discovery-down", "discovery-slow", "discovery-limited", "discovery-older")
+ON_LINKS = ("link", "split")
+ON_CLIENTS = ("reconnect", "clump")
+KINDS = (*ON_MEMBERS, *ON_PARTNERS, *ON_DISCOVERY, *ON_LINKS, *ON_CLIENTS)
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    members: int = 3
+    front: str = "operator"  # or "platform": GW_CONFIG, discovery, notices
+    senders: int = 0  # what each member is told; 0: as many as there are members
+    slots: int = 8
+    max_open: int = 400
+    cold_s: float = 14.0
+    gossip: bool = False  # [fleet] in the members' files
+    gossip_interval_s: float = 0.25
+    comeback: bool = True
+    disk_mb: float = 16.0
+    ask_within_s: float = 10.0
+    extra: str = ""  # more of the members' files, in TOML
+
+    @property
+    def counted(self) -> int:
+        return self.senders or self.members
+
+
+@dataclass(frozen=True, slots=True)
+class Grade:
+    name: str
+    semantics: str = "idempotent"
+    deadline_s: float = 12.0
+    aim_s: float = 2.0
+    repeat_window_s: float = 25.0
+    worth: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Partner:
+    dest: int
+    rate: float = 100.0
+    listed: float = -1.0  # what the list tells; below 0: the rate
+    endpoints: int = 1
+    depth_s: float = 0.3
+    refused_cost: float = 0.5
+    cold_share: float = 0.2
+    warm_s: float = 5.0
+    falls_at: float = 0.0
+    falls_window_s: float = 1.0
+    span_s: float = 0.0
+    answer_s: float = 0.05
+    tells_wait_s: float = 0.0  # Retry-After of a refusal; 0: none
+
+    @property
+    def told(self) -> float:
+        return self.rate if self.listed < 0 else self.listed
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    dest: int
+    grade: str
+    each: float = 4.0  # messages/s offered to each member
+    retries: int = 2  # times that a client comes again after a refusal
+    back_off: bool = True  # waits as told and longer each time; else comes again at once
+    begin_s: float = -1e9
+    until_s: float = 1e9
+    tenant: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    at: float
+    do: str
+    who: tuple[str, ...] | int | str = "all"  # names or globs, a number of members, "all", "last", "rest"
+    dest: int = 0
+    endpoint: int = 0
+    for_s: float = 0.0
+    back_s: float = -1.0  # killed and ended ones start again after so long; below 0: not by themselves
+    start: str = "together"
+    over_s: float = 0.0
+    folder: tuple[str, ...] = ("kept",)  # one for all, or one for each in turn
+    times: int = 3  # of a crash loop
+    share: float = 0.5  # what is left of a limit
+    wait_s: float = 0.0  # told while shut
+    between: tuple[str, str] = ("members", "members")  # a link's ends
+    weather: Mapping[str, Any] = field(default_factory=dict)
+    groups: tuple[tuple[str, ...], ...] = ()
+    count: int = 50  # messages of a clump
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    name: str
+    seed: int
+    seconds: float
+    settle_s: float  # load before time 0, not judged by the figures
+    drain_s: float  # after the load's end, for what is held
+    fleet: Fleet
+    grades: tuple[Grade, ...]
+    partners: tuple[Partner, ...]
+    loads: tuple[Load, ...]
+    tenants: tuple[Tenant, ...]
+    faults: tuple[Fault, ...]
+
+    @property
+    def names(self) -> list[str]:
+        return [f"m{place + 1:02d}" for place in range(self.fleet.members)]
+
+    def rng(self, what: str) -> random.Random:
+        """A stream of its own for each part, so that one more draw in one part moves no other."""
+        return random.Random(f"{self.seed}/{what}")
+
+    def with_(self, **changes: Any) -> Schedule:
+        """The same with other seed, fleet settings and the like."""
+        own = {
+            key: value for key, value in changes.items() if key in {f.name for f in dataclasses.fields(self)}
+        }
+        rest = {key: value for key, value in changes.items() if key not in own}
+        fleet = dataclasses.replace(self.fleet, **rest) if rest else self.fleet
+        return dataclasses.replace(self, fleet=fleet, **own)
+
+
+def chosen(schedule: Schedule, place: int, last: Sequence[str]) -> list[str]:
+    """The members that the fault at this place of the schedule means; `last` are those of the one before."""
+    fault, names = schedule.faults[place], schedule.names
+    match fault.who:
+        case "all":
+            return names
+        case "last":
+            return list(last)
+        case "rest":
+            return [name for name in names if name not in last]
+        case int(count):
+            return sorted(schedule.rng(f"who/{place}").sample(names, min(count, len(names))))
+        case str(glob):
+            return [name for name in names if fnmatch(name, glob)]
+        case globs:
+            return [name for name in names if any(fnmatch(name, glob) for glob in globs)]
+
+
+def load(path: Path) -> Schedule:
+    """Read and check a schedule's file; ConfigError with one line that names the file and the fault."""
+    try:
+        return parse(read(path))
+    except ConfigError as error:
+        text = " ".join(str(error).split())
+        raise ConfigError(text if text.startswith(str(path)) else f"{path}: {text}") from None
+
+
+def parse(raw: Mapping[str, Any]) -> Schedule:
+    top = Table(raw, "")
+    fleet = _fill(Fleet, top.table("fleet") or Table({}, "fleet"))
+    if fleet.front not in ("operator", "platform"):
+        raise ConfigError("fleet.front: operator or platform")
+    if fleet.members < 1:
+        raise ConfigError("fleet.members: must be above 0")
+    if fleet.gossip and fleet.front == "platform":
+        raise ConfigError("fleet.gossip: members on the platform never talk")
+    grades = tuple(_fill(Grade, table) for table in top.tables("class")) or (Grade("note"),)
+    partners = tuple(_fill(Partner, table) for table in top.tables("partner"))
+    loads = tuple(_fill(Load, table) for table in top.tables("load"))
+    tenants = tuple(_fill(Tenant, table) for table in top.tables("tenant"))
+    faults = tuple(_fault(table, place, fleet) for place, table in enumerate(top.tables("fault")))
+    if not partners:
+        raise ConfigError("partner: at least one is needed")
+    dests, named = {one.dest for one in partners}, {one.name for one in grades}
+    if len(dests) < len(partners):
+        raise ConfigError("partner.dest: stands twice")
+    for place, one in enumerate(loads):
+        if one.dest not in dests:
+            raise ConfigError(f"load[{place}].dest: no partner has {one.dest}")
+        if one.grade not in named:
+            raise ConfigError(f"load[{place}].grade: no class '{one.grade}'")
+    for place, fault in enumerate(faults):
+        if fault.do in (*ON_PARTNERS, "clump") and fault.dest not in dests:
+            raise ConfigError(f"fault[{place}].dest: no partner has {fault.dest}")
+        if fault.do in ON_DISCOVERY and fleet.front != "platform":
+            raise ConfigError(f"fault[{place}].do: {fault.do} is for fleet.front = 'platform'")
+    found = Schedule(
+        name=top.get("name", str),
+        seed=int(top.get("seed", int, default=1)),
+        seconds=_positive(top, "seconds"),
+        settle_s=float(top.get("settle_s", int, float, default=3.0)),
+        drain_s=float(top.get("drain_s", int, float, default=3.0)),
+        fleet=fleet,
+        grades=grades,
+        partners=partners,
+        loads=loads,
+        tenants=tenants,
+        faults=faults,
+    )
+    top.done()
+    return found
+
+
+def _fill(kind: type[_T], table: Table) -> _T:
+    """A record from a table, each key checked against the field's type."""
+    values: dict[str, Any] = {}
+    for one in dataclasses.fields(kind):  # type: ignore[arg-type]
+        key = one.name
+        missing = one.default is dataclasses.MISSING
+        kinds: tuple[type, ...] = {"int": (int,), "float": (int, float), "str": (str,), "bool": (bool,)}[
+            str(one.type)
+        ]
+        value = table.get(key, *kinds, default=None if missing else one.default)
+        values[key] = float(value) if str(one.type) == "float" else value
+        if (
+            str(one.type) in ("int", "float")
+            and values[key] < 0
+            and key != "listed"
+            and not key.endswith("_s")
+        ):
+            raise ConfigError(f"{table.name}.{key}: must not be below 0")
+    table.done()
+    return kind(**values)
+
+
+_WEATHER = {
+    "drop": float,
+    "delay_s": float,
+    "jitter_s": float,
+    "double": float,
+    "reorder": float,
+    "throttle": float,
+    "silent": str,
+    "refuse": bool,
+    "reset": float,
+}
+
+
+def _fault(table: Table, place: int, fleet: Fleet) -> Fault:
+    where = f"fault[{place}]"
+    do = table.get("do", str)
+    if do not in KINDS:
+        raise ConfigError(f"{where}.do: not one of {', '.join(KINDS)}")
+    who: Any = table.get("who", str, int, list, default="all")
+    if isinstance(who, list):
+        who = tuple(str(one) for one in who)
+    folder: Any = table.get("folder", str, list, default="kept")
+    folder = (folder,) if isinstance(folder, str) else tuple(folder)
+    if not folder or any(one not in FOLDERS for one in folder):
+        raise ConfigError(f"{where}.folder: not one of {', '.join(FOLDERS)}")
+    start = table.get("start", str, default="together")
+    if start not in STARTS:
+        raise ConfigError(f"{where}.start: not one of {', '.join(STARTS)}")
+    between = table.get("between", list, default=["members", "members"])
+    if len(between) != 2 or not all(isinstance(one, str) for one in between):
+        raise ConfigError(f"{where}.between: two names")
+    weather: dict[str, Any] = {}
+    for key, kind in _WEATHER.items():
+        if key in table.raw:
+            kinds = (int, float) if kind is float else (kind,)
+            weather[key] = kind(table.get(key, *kinds))
+    if weather.get("silent", "both") not in ("both", "up", "down"):
+        raise ConfigError(f"{where}.silent: both, up or down")
+    groups = table.get("groups", list, default=[])
+    if do == "split" and len(groups) < 2:
+        raise ConfigError(f"{where}.groups: two or more lists of names")
+    numbers = {
+        key: float(table.get(key, int, float, default=default))
+        for key, default in (
+            ("for_s", 0.0),
+            ("back_s", -1.0),
+            ("over_s", 0.0),
+            ("share", 0.5),
+            ("wait_s", 0.0),
+        )
+    }
+    found = Fault(
+        at=float(table.get("at", int, float)),
+        do=do,
+        who=who,
+        dest=int(table.get("dest", int, default=0)),
+        endpoint=int(table.get("endpoint", int, default=0)),
+        start=start,
+        folder=folder,
+        times=int(table.get("times", int, default=3)),
+        between=(between[0], between[1]),
+        weather=weather,
+        groups=tuple(tuple(map(str, group)) for group in groups),
+        count=int(table.get("count", int, default=50)),
+        **numbers,
+    )
+    if isinstance(who, int) and who > fleet.members:
+        raise ConfigError(f"{where}.who: the fleet has {fleet.members} members")
+    table.done()
+    return found
+
+
+def _positive(top: Table, key: str) -> float:
+    value = float(top.get(key, int, float))
+    if value <= 0:
+        raise ConfigError(f"{key}: must be above 0")
+    return value
--- /dev/null
+++ b/mountgauge/lab/rig/stands.py
@@ -0,0 +1,431 @@
+"""Stand-ins on loopback: partners' endpoints, the platform (discovery and notices), clients.
+
+Each tells `events` all that goes over its sockets; none knows the program beyond its wires. What a partner
+bears is `bearing.Bearing`'s to say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from mountgauge.http1 import HttpError, Message, Parser, response
+from mountgauge.lab.rig.bearing import Bearing
+from mountgauge.lab.rig.events import Events
+from mountgauge.lab.rig.links import HOST, Link, Place
+from mountgauge.lab.rig.schedule import Load, Partner
+
+_CLIENT_WAITS = 0.4  # s that a client waits for the answer to a message
+_COMES_AGAIN = 0.5  # s after which one that heard nothing comes again
+_PATIENCE = 2.0  # s in which a client must have been let in
+_LISTS_KEPT = 64  # versions of the list that discovery can go back to
+
+Who = Callable[[Any], str]  # which member a connection's peer name belongs to
+
+
+class _Server:
+    """Listens, reads HTTP and answers one message after another."""
+
+    def __init__(self, who: Who) -> None:
+        self._who = who
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.place: Place = (HOST, 0)
+
+    async def start(self) -> Place:
+        self._server = await asyncio.start_server(self._serve, HOST, self.place[1], backlog=1024)
+        self.place = self._server.sockets[0].getsockname()[:2]
+        return self.place
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        member, parser = self._who(writer.get_extra_info("peername")), Parser(requests=True)
+        try:
+            while data := await reader.read(65536):
+                for message in parser.feed(data):
+                    answering = asyncio.ensure_future(self.answer(member, message, reader))
+                    gone = asyncio.ensure_future(_eof(reader))
+                    try:
+                        await asyncio.wait({answering, gone}, return_when=asyncio.FIRST_COMPLETED)
+                        if not answering.done():
+                            answering.cancel()
+                        answer = await answering
+                    except asyncio.CancelledError:
+                        answering.cancel()
+                        raise
+                    finally:
+                        gone.cancel()
+                    if answer is None or writer.transport.is_closing():
+                        return
+                    writer.write(answer)
+        except (OSError, HttpError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        raise NotImplementedError
+
+
+async def _eof(reader: asyncio.StreamReader) -> None:
+    """Until the other side has gone: it sends nothing while it waits for an answer."""
+    while not reader.at_eof() and reader.exception() is None:
+        await asyncio.sleep(0.02)
+
+
+class PartnerStand:
+    """One destination: its endpoints share what it bears."""
+
+    def __init__(self, spec: Partner, events: Events, who: Who) -> None:
+        self.spec, self.events = spec, events
+        self.bearing = Bearing(
+            spec.rate,
+            spec.depth_s,
+            spec.refused_cost,
+            spec.cold_share,
+            spec.warm_s,
+            spec.falls_at,
+            spec.falls_window_s,
+            spec.span_s,
+        )
+        self.bearing.cold_at = -1e9
+        self.mode = ""  # "silent", "error", "spoilt": how calls fare that it takes
+        self.wait_s = 0.0  # told while it is shut
+        self.out: Counter[str] = Counter()  # by message: calls that are out
+        self.endpoints = [_Endpoint(self, number, who) for number in range(spec.endpoints)]
+        self._next = spec.endpoints
+        self.who = who
+
+    def new_endpoint(self) -> _Endpoint:
+        self._next += 1
+        endpoint = _Endpoint(self, self._next - 1, self.who)
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    def log_bearing(self) -> None:
+        now = self.events.now
+        self.events.add(
+            "bears", dest=self.spec.dest, rate=round(self.bearing.bears(now), 3), fell=self.bearing.fell
+        )
+
+
+class _Endpoint(_Server):
+    numbers = itertools.count(1)  # of calls, over all endpoints
+
+    def __init__(self, partner: PartnerStand, number: int, who: Who) -> None:
+        super().__init__(who)
+        self.partner, self.id = partner, f"e{partner.spec.dest}-{number}"
+        self.state = "active"
+
+    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        partner, events = self.partner, self.partner.events
+        spec, bearing, headers = partner.spec, partner.bearing, message.headers
+        if message.start is None or message.start[:2] != ("POST", "/hook"):
+            return response(400, "Bad Request", {}, b"")
+        number, msg_id = next(self.numbers), headers.get("x-trace-id", "")
+        call = {"call": number, "member": member, "dest": spec.dest, "endpoint": self.id, "id": msg_id}
+        was = bearing.fell
+        taken = bearing.call(events.now)
+        events.add(
+            "call", key=headers.get("idempotency-key", ""), bears=round(bearing.bears(events.now), 3), **call
+        )
+        if bearing.fell > was:
+            events.add("fell", dest=spec.dest)
+        status, extra, ran = 200, dict[str, str](), taken
+        try:
+            if partner.mode == "silent":
+                ran = True
+                await asyncio.sleep(3600)
+            elif not taken:
+                status = 503
+                shut = bearing.shut_until - events.now
+                wait = shut if shut > 0 and partner.wait_s > 0 else spec.tells_wait_s
+                if wait > 0:
+                    status, extra = 429, {"Retry-After": f"{wait:.3f}"}
+            else:
+                await asyncio.sleep(spec.answer_s)
+                status = 500 if partner.mode == "error" else 200
+        except asyncio.CancelledError:
+            events.add("broken", ran=ran, **call)
+            raise
+        wait_s = float(extra.get("Retry-After", 0))
+        events.add("answer", status=status if partner.mode != "spoilt" else 0, ran=ran, wait=wait_s, **call)
+        if partner.mode == "spoilt" and taken:
+            return b"\x16\x03\x01 no answer at all\r\n\r\n"
+        return response(status, "-", extra, b"")
+
+
+@dataclass
+class Listed:
+    """One line of discovery's list; its address differs from member to member."""
+
+    id: str
+    dest: int
+    weight: float
+    state: str = "active"
+
+
+class Platform(_Server):
+    """Discovery, which works through calls one after another, and the notices."""
+
+    def __init__(self, events: Events, who: Who, place_of: Callable[[str, str], Place]) -> None:
+        super().__init__(who)
+        self.events, self._place_of = events, place_of
+        self.entries: dict[str, Listed] = {}
+        self.version = 0
+        self.kept: list[tuple[int, dict[str, Listed]]] = []
+        self.last: dict[str, Mapping[str, Any]] = {}  # the list as each member last had it
+        self.down = False
+        self.cost_s = 0.0  # of its time for each call
+        self.slow_s = 0.0
+        self.older = 0  # versions that it has gone back by
+        self.patience_s = 2.0  # s after which a call that has waited fails
+        self._free_at = 0.0
+        self._news = asyncio.Event()
+
+    def change(self, entries: Mapping[str, Listed]) -> None:
+        self.entries = {name: one for name, one in entries.items()}
+        self.version += 1
+        self.kept = [*self.kept[-_LISTS_KEPT:], (self.version, dict(self.entries))]
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def set_down(self, down: bool) -> None:
+        self.down = down
+        if down:  # watches end
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    def as_json(self, member: str) -> dict[str, Any]:
+        version, entries = self.version, self.entries
+        if self.older and len(self.kept) > self.older:
+            version, entries = self.kept[-1 - self.older]
+        return {
+            "version": version,
+            "full": True,
+            "servers": [self._line(member, one) for one in entries.values()],
+        }
+
+    def _line(self, member: str, one: Listed) -> dict[str, Any]:
+        host, port = self._place_of(member, one.id)
+        return {
+            "id": one.id,
+            "addr": f"{host}:{port}",
+            "kind": "member-dispatch",
+            "cell": one.dest,
+            "state": one.state,
+            "weight": one.weight,
+            "started_ms": 0,
+        }
+
+    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        assert message.start is not None
+        method, path, _ = message.start
+        if method == "POST" and path == "/v1/notices":
+            try:
+                for line in bytes(message.body).splitlines():
+                    raw = json.loads(line)
+                    self.events.add(
+                        "notice",
+                        member=member,
+                        id=raw["id"],
+                        status=raw["status"],
+                        again_ms=raw.get("again_ms", 0),
+                    )
+            except (ValueError, KeyError):
+                return response(400, "Bad Request", {}, b"")
+            return response(204, "No Content", {}, b"")
+        if method != "GET" or not path.startswith("/registry/instances"):
+            return response(404, "Not Found", {}, b"")
+        self.events.add("list-call", member=member, watch="index=" in path)
+        if self.down:
+            return None
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
+        self._free_at = max(asked, self._free_at) + self.cost_s
+        if self._free_at - asked > self.patience_s:  # it costs as much as one that is served
+            await asyncio.sleep(self.patience_s)
+            return response(503, "Service Unavailable", {}, b"")
+        await asyncio.sleep(self._free_at - asked + self.slow_s)
+        pairs = dict(pair.split("=") for pair in path.partition("?")[2].split("&") if "=" in pair)
+        index, wait = int(pairs.get("index", -1)), int(pairs.get("wait", 0)) / 1000
+        ends = loop.time() + wait
+        while index >= self.version and loop.time() < ends and not self.down:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._news.wait(), ends - loop.time())
+        if self.down:
+            return None
+        found = self.as_json(member)
+        if index >= self.version and not self.older:
+            found = {"version": index, "full": False, "servers": []}
+        self.told(member, found)
+        return response(200, "OK", {"Content-Type": "application/json"}, json.dumps(found).encode())
+
+    def told(self, member: str, found: Mapping[str, Any]) -> None:
+        if found["full"]:
+            self.last[member] = found
+        self.events.add(
+            "told",
+            member=member,
+            version=found["version"],
+            full=found["full"],
+            states={one["id"]: one["state"] for one in found["servers"]},
+        )
+
+
+@dataclass(eq=False)
+class Door:
+    """A member's clients: connections kept, more opened when all are busy."""
+
+    member: str
+    link: Link
+    events: Events
+    idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = field(default_factory=list)
+    opened: int = 0
+    user: str = ""  # logs in as this tenant's user
+
+    async def ask(self, *args: bytes) -> bytes:
+        """One command, one answer; OSError where there is none."""
+        reader, writer = await self._connection()
+        try:
+            writer.write(b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in args))
+            answer = await reader.readline()
+            if not answer:
+                raise ConnectionResetError("closed without an answer")
+        except BaseException:
+            writer.transport.abort()
+            raise
+        self.idle.append((reader, writer))
+        return answer
+
+    async def _connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        while self.idle:
+            reader, writer = self.idle.pop()
+            if not reader.at_eof() and not writer.transport.is_closing():
+                return reader, writer
+            writer.transport.abort()
+        self.opened += 1
+        reader, writer = await asyncio.open_connection(*self.link.place)
+        if self.user:
+            name = self.user.encode()
+            writer.write(
+                b"*3\r\n$4\r\nAUTH\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (len(name), name, len(name), name)
+            )
+            try:
+                if not (await reader.readline()).startswith(b"+"):
+                    raise ConnectionResetError("not let in")
+            except BaseException:
+                writer.transport.abort()
+                raise
+        return reader, writer
+
+    async def reconnect(self, count: int) -> None:
+        """All connections go, and so many come at once; each asks PING."""
+        for _, writer in self.idle:
+            writer.transport.abort()
+        self.idle.clear()
+
+        async def one() -> None:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(_PATIENCE):
+                    await self.ask(b"PING")
+
+        await asyncio.gather(*(one() for _ in range(count)))
+
+    def close(self) -> None:
+        for _, writer in self.idle:
+            writer.transport.abort()
+
+
+class Clients:
+    """One load at one member: what it offers, and what comes of it."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, load: Load, door: Door, deadline_s: float, seed: str, fields: bytes = b"") -> None:
+        self.load, self.door, self.deadline_s = load, door, deadline_s
+        self.events = door.events
+        self._numbers = np.random.Generator(np.random.PCG64(abs(hash_text(seed))))
+        self._rng = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float) -> None:
+        """Offer messages until then, in the schedule's time."""
+        at = max(self.events.now, self.load.begin_s)
+        while True:
+            at += float(self._numbers.exponential(1 / self.load.each)) if self.load.each > 0 else 1e9
+            if at >= min(until, self.load.until_s):
+                return
+            await asyncio.sleep(max(0.0, at - self.events.now))
+            self.offer()
+
+    def offer(self) -> None:
+        task = asyncio.get_running_loop().create_task(self._hand_in(self._rng.getrandbits(64)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _hand_in(self, key: int) -> None:
+        load, events, member = self.load, self.events, self.door.member
+        loop, key_text = asyncio.get_running_loop(), f"{key:016x}"
+        offered, refused, failed = loop.time(), 0, 0
+        events.add(
+            "offer", member=member, key=key_text, dest=load.dest, grade=load.grade, left=self.deadline_s
+        )
+        while (left := self.deadline_s - (loop.time() - offered)) > 0.1:
+            msg_id = f"{next(self.ids):016x}"
+            pairs = f"c={load.grade},d={int(left * 1000)},k={key_text},dest={load.dest}"
+            same = {"member": member, "id": msg_id, "key": key_text, "dest": load.dest, "grade": load.grade}
+            events.add("handed", left=left, **same)
+            try:
+                async with asyncio.timeout(_CLIENT_WAITS):
+                    answer = await self.door.ask(
+                        b"ENQUEUE", b"0" * 16, msg_id.encode(), pairs.encode(), b"hello"
+                    )
+            except (OSError, TimeoutError):
+                events.add("unheard", **same)
+                failed += 1
+                if loop.time() - offered > _PATIENCE:
+                    return
+                pause = _COMES_AGAIN * (1 + self._rng.random()) if load.back_off else 0.05
+                await asyncio.sleep(pause)
+                continue
+            if answer.startswith(b"+"):
+                events.add("taken", left=left, **same)
+                return
+            if not answer.startswith(b"-BUSY"):
+                events.add("failed", answer=answer.decode(errors="replace").strip(), **same)
+                return
+            told = answer[5:].strip()
+            again = int(told) / 1000 if told.isdigit() else 0.25
+            events.add("refused", again=again, **same)
+            refused += 1
+            if refused > load.retries:
+                return
+            await asyncio.sleep(again * (1 + self._rng.random()) * refused if load.back_off else 0.02)
+
+    async def stop(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def hash_text(text: str) -> int:
+    """The same number for the same text in each process."""
+    return int.from_bytes(random.Random(text).randbytes(8), "big")
--- /dev/null
+++ b/tests/lab/test_pure.py
@@ -0,0 +1,223 @@
+"""The rig's parts without I/O: what a partner bears, what links do, schedules, and the oracle's rules one
+by one.
+"""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mountgauge.core.config import ConfigError
+from mountgauge.lab.rig.bearing import Bearing
+from mountgauge.lab.rig.events import Event
+from mountgauge.lab.rig.figures import Figures, summary
+from mountgauge.lab.rig.oracle import Judged, judge
+from mountgauge.lab.rig.processes import read_line
+from mountgauge.lab.rig.schedule import Schedule, chosen, parse
+from mountgauge.lab.rig.weather import Weather
+
+SMALL = """
+name = "small"
+seconds = 10
+[[class]]
+name = "safe"
+[[class]]
+name = "once"
+semantics = "at_most_once"
+[[class]]
+name = "keyed"
+semantics = "deduplicated"
+repeat_window_s = 2
+[[partner]]
+dest = 7
+[[load]]
+dest = 7
+grade = "safe"
+"""
+
+
+def schedule(extra: str = "") -> Schedule:
+    return parse(tomllib.loads(SMALL + extra))
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(st.floats(0.001, 0.4), min_size=5, max_size=120),
+    st.floats(1, 200), st.floats(0.05, 1), st.floats(0, 1), st.floats(0, 8),
+)  # fmt: skip
+def test_a_partner_never_takes_more_than_it_bears(
+    gaps: list[float], rate: float, depth: float, cost: float, warm: float
+) -> None:
+    one = Bearing(rate, depth, cost, 0.2, warm)
+    one.go_cold(0.0)
+    now, taken, times = 0.0, 0, list[float]()
+    for gap in gaps:
+        now += gap
+        times.append(now)
+        taken += one.call(now)
+    assert taken <= one.could(0.0, now, 0.001) + max(1.0, rate * depth) + 1e-6
+
+
+def test_a_partner_that_is_overrun_starts_cold_anew_and_else_warms() -> None:
+    one = Bearing(100, cold_share=0.2, warm_s=5, falls_at=1.5)
+    one.go_cold(0.0)
+    for place in range(500):  # 50 calls/s, where 20 to 36 are borne
+        one.call(place / 50)
+    assert one.fell >= 5 and one.bears(10.0) < 40
+    calm = Bearing(100, cold_share=0.2, warm_s=5, falls_at=1.5)
+    calm.go_cold(0.0)
+    assert all(calm.call(place / 20) for place in range(120)) and not calm.fell
+    assert calm.bears(6.0) == 100
+    calm.shut(6.0, 1.0)
+    assert calm.bears(6.5) == 0 and not calm.call(6.5) and calm.bears(7.0) == 20
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.integers(1, 9000), st.floats(0, 0.3)), max_size=60), st.integers(0, 99))
+def test_a_stream_keeps_its_order_and_its_throttle(pieces: list[tuple[int, float]], seed: int) -> None:
+    weather, rng = Weather(delay_s=0.05, jitter_s=0.2, throttle=10_000), random.Random(seed)
+    now = free = last = 0.0
+    sent = 0
+    for size, gap in pieces:
+        now += gap
+        arrives, free = weather.stream(size, now, free, rng)
+        sent += size
+        assert arrives >= last and arrives >= now + 0.05 and arrives >= sent / 10_000
+        last = arrives
+
+
+def test_a_link_is_quiet_in_the_direction_that_it_is_told() -> None:
+    rng = random.Random(1)
+    assert Weather(silent="up").datagram(True, rng) == [] != Weather(silent="up").datagram(False, rng)
+    assert Weather(silent="both").quiet(True) and Weather(silent="both").quiet(False)
+    lost = sum(not Weather(drop=0.3).datagram(True, rng) for _ in range(2000))
+    assert 500 < lost < 700
+    assert sum(len(Weather(double=0.5).datagram(True, rng)) for _ in range(2000)) in range(2850, 3150)
+
+
+@pytest.mark.parametrize(
+    ("extra", "says"),
+    [
+        ("[fleet]\nmembers = 0", "fleet.members: must be above 0"),
+        ("[fleet]\nfront = 'gate'", "fleet.front: operator or platform"),
+        ("[fleet]\nfront = 'platform'\ngossip = true", "fleet.gossip: members on the platform never talk"),
+        ("[fleet]\nspeed = 3", "fleet.speed: unknown setting"),
+        ("[[fault]]\nat = 1\ndo = 'melt'", "fault[0].do: not one of"),
+        ("[[fault]]\nat = 1\ndo = 'kill'\nwho = 9", "fault[0].who: the fleet has 3 members"),
+        ("[[fault]]\nat = 1\ndo = 'kill'\nfolder = 'eaten'", "fault[0].folder: not one of"),
+        ("[[fault]]\nat = 1\ndo = 'cold'\ndest = 8", "fault[0].dest: no partner has 8"),
+        ("[[fault]]\nat = 1\ndo = 'discovery-down'", "fault[0].do: discovery-down is for fleet.front"),
+        ("[[fault]]\nat = 1\ndo = 'link'\nsilent = 'left'", "fault[0].silent: both, up or down"),
+        ("[[fault]]\nat = 1\ndo = 'split'", "fault[0].groups: two or more lists of names"),
+        ("[[load]]\ndest = 7\ngrade = 'gold'", "load[1].grade: no class 'gold'"),
+    ],
+)
+def test_bad_schedules_are_refused_with_one_line(extra: str, says: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        schedule(extra)
+    assert str(error.value).startswith(says) and "\n" not in str(error.value)
+
+
+def test_one_seed_always_means_the_same_members() -> None:
+    text = "[fleet]\nmembers = 10\n" + "".join(
+        f"[[fault]]\nat = {at}\ndo = 'kill'\nwho = {who}\n"
+        for at, who in ((1, "4"), (2, "'rest'"), (3, "'m0*'"))
+    )
+    one = schedule(text)
+    first = chosen(one, 0, [])
+    assert len(first) == 4 and first == chosen(schedule(text), 0, [])
+    assert chosen(one, 0, []) != chosen(one.with_(seed=2), 0, [])
+    assert sorted(first + chosen(one, 1, first)) == one.names
+    assert len(chosen(one, 2, [])) == 9
+
+
+def test_log_lines_are_read_as_they_are_written() -> None:
+    assert read_line('ts=1.0 event=phase to=full why="a \\"b\\" c" n=3') == {
+        "ts": "1.0", "event": "phase", "to": "full", "why": 'a "b" c', "n": "3"
+    }  # fmt: skip
+    assert read_line("Traceback (most recent call last):") == {} == read_line("")
+
+
+# The oracle: a history in which nothing is wrong, then with one thing changed
+
+
+def at(when: float, kind: str, **fields: Any) -> Event:
+    return Event(when, kind, {"member": "m01", **fields})
+
+
+def message(msg_id: str = "a", grade: str = "safe", when: float = 0.0, left: float = 3.0) -> list[Event]:
+    same = {"id": msg_id, "key": "k" + msg_id, "grade": grade, "dest": 7}
+    return [at(when, "handed", left=left, **same), at(when + 0.01, "taken", left=left, **same)]
+
+
+def call(number: int, when: float, status: int | None = 200, took: float = 0.1, **more: Any) -> list[Event]:
+    same = {"call": number, "id": "a", "dest": 7, "endpoint": "e7-0", **more}
+    wait = same.pop("wait", 0.0)
+    if status is None:
+        return [at(when, "call", **same), at(when + took, "broken", ran=True, **same)]
+    return [at(when, "call", **same), at(when + took, "answer", status=status, ran=True, wait=wait, **same)]
+
+
+def told(when: float, state: str) -> Event:
+    return at(when, "told", version=1, full=True, states={"e7-0": state})
+
+
+END = [at(30.0, "bears", dest=7, rate=100.0)]
+CLEAN = [*message(), *call(1, 0.1, 503), *call(2, 0.5, 500), *call(3, 1.0)]
+
+
+def rules(*events: Event, text: str = "") -> list[str]:
+    return [one.rule for one in judge(schedule(text), [*events, *END]).broken]
+
+
+def test_the_oracle_finds_nothing_in_a_clean_history() -> None:
+    assert rules(*CLEAN) == []
+    assert rules(*message(grade="once"), *call(1, 0.1, 503), *call(2, 0.5, None)) == ["final"]
+    assert rules(*message(), at(2.9, "notice", id="a", status="deferred")) == []
+
+
+@pytest.mark.parametrize(
+    ("events", "rule"),
+    [
+        ([*message()], "final"),
+        ([*message(), *call(1, 3.3)], "final"),
+        ([*message(), *(at(n, "notice", id="a", status=f"{n}") for n in (1, 2))], "ends"),
+        ([*message(), *call(1, 0.1, 200, 1.0), *call(2, 0.2)], "two-out"),
+        ([*message(grade="once"), *call(1, 0.1, 500), *call(2, 1.0)], "repeat"),
+        ([*message(grade="once"), *call(1, 0.1, None), *call(2, 1.0)], "repeat"),
+        ([*message(grade="keyed"), *call(1, 0.1, 500), *call(2, 2.4)], "repeat"),
+        ([*message(), *(one for n in range(9) for one in call(n, 0.1 + n / 4))], "attempts"),
+        ([*message(), *call(1, 0.1, 429, wait=1.0), *call(2, 0.9)], "wait"),
+        ([*message(), told(0.0, "leaving"), *call(1, 0.5)], "drain"),
+        (call(1, 0.5), "unasked"),
+    ],
+)  # fmt: skip
+def test_the_oracle_names_each_broken_rule(events: list[Event], rule: str) -> None:
+    assert rules(*events) == [rule]
+
+
+def test_the_oracle_excuses_what_a_rule_excuses() -> None:
+    killed = at(1.0, "fault", do="kill", who=["m01"], folder=["lost"])
+    assert rules(*message(), killed, at(1.0, "gone", code=-9)) == [], "its folder was lost with it"
+    kept = at(1.0, "fault", do="kill", who=["m01"], folder=["kept"])
+    again = [at(1.0, "gone", code=-9), at(4.0, "start", life=2), at(4.5, "ready", life=2)]
+    assert rules(*message(), kept, *again, *call(1, 5.5)) == [], "1.5 s from ready on are its own"
+    assert rules(*message(), kept, *again, *call(1, 6.6)) == ["final"]
+    assert rules(*message(), *call(1, 0.1, 429, wait=1.0), at(0.5, "start", life=2), *call(2, 0.9)) == []
+    assert rules(*message(), told(0.0, "leaving"), told(1.0, "active"), *call(1, 1.5)) == []
+
+
+def test_figures_of_a_known_history() -> None:
+    bears = [at(n / 10, "bears", dest=7, rate=20.0) for n in range(0, 100)]
+    offers = [at(n / 10, "offer", id=str(n), key=str(n), dest=7, grade="safe", left=3.0) for n in range(100)]
+    calls = [one for n in range(100) for one in call(n, n / 10, 200 if n % 2 else 503, 0.01)]
+    found = Figures([*bears, *offers, *calls])
+    assert abs(found.borne(0, 5) - 100) < 1 and found.refused_share(0, 10) == 0.5
+    assert abs(found.served_share(0, 5) - 0.25) < 0.02
+    total = summary([*bears, *offers, *calls], Judged(), 0.0, 10.0)
+    assert total["endless"] == 1 and total["full_service_s"] is None
--- /dev/null
+++ b/tests/lab/test_rig.py
@@ -0,0 +1,155 @@
+"""The rig at work: real senders behind links, and senders that break one rule each. Judged by counts and
+orders.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from mountgauge.core.config import ConfigError
+from mountgauge.lab.cli import main
+from mountgauge.lab.rig.events import read
+from mountgauge.lab.rig.links import HOST, Link, Place
+from mountgauge.lab.rig.mutants import MUTANTS
+from mountgauge.lab.rig.oracle import judge
+from mountgauge.lab.rig.schedule import load
+from mountgauge.lab.rig.weather import Weather
+from tests.helper import run, until
+
+EVERY_RULE = Path(__file__).parent.parent.parent / "experiments" / "rig" / "every-rule.toml"
+
+
+class Echo:
+    """Says back what it hears."""
+
+    async def start(self) -> Place:
+        self.heard = b""
+        self.ended = 0
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        place: Place = self._server.sockets[0].getsockname()[:2]
+        return place
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(4096):
+                self.heard += data
+                writer.write(data)
+        except OSError:
+            pass
+        self.ended += 1
+        writer.close()
+
+
+def test_a_link_delays_falls_silent_resets_and_refuses() -> None:
+    async def main() -> None:
+        echo, who = Echo(), dict[Place, str]()
+        link = Link("m01", "echo", await echo.start(), "seed", who)
+        await link.start()
+        reader, writer = await asyncio.open_connection(*link.place)
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        assert set(who.values()) == {"m01"}
+        link.set(Weather(delay_s=0.2))
+        began = asyncio.get_running_loop().time()
+        writer.write(b"two")
+        assert await reader.readexactly(3) == b"two"
+        assert asyncio.get_running_loop().time() - began >= 0.4
+        link.set(Weather(silent="down"))  # heard, and never answered
+        writer.write(b"three")
+        await until(lambda: echo.heard.endswith(b"three"))
+        link.set(Weather(silent="both"))
+        writer.write(b"four")
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert not echo.heard.endswith(b"four") and not echo.ended, "half open: nobody was told"
+        link.set(Weather())
+        reader, writer = await asyncio.open_connection(*link.place)
+        writer.write(b"five")
+        assert await reader.readexactly(4) == b"five"
+        link.reset_all()
+        with pytest.raises(OSError):
+            writer.write(b"six")
+            await reader.readexactly(3)
+        link.set(Weather(refuse=True))
+        reader, writer = await asyncio.open_connection(*link.place)
+        assert await asyncio.wait_for(_gone(reader), 5)
+        link.close()
+
+    run(main())
+
+
+async def _gone(reader: asyncio.StreamReader) -> bool:
+    try:
+        return await reader.read(1) == b""
+    except OSError:
+        return True
+
+
+_SLACK = 0.6  # s that a busy machine may add: the schedule's waits, answers and drains are far longer
+
+
+def _play(name: str, folder: Path) -> subprocess.Popen[bytes]:
+    """The schedule on a rig in a process of its own: many at once must not share one interpreter."""
+    code = (
+        "import sys; from pathlib import Path; from mountgauge.lab.rig import play, schedule\n"
+        "play.play(schedule.load(Path(sys.argv[1])), Path(sys.argv[2]), sys.argv[3:] or None)"
+    )
+    mutant = [] if name == "unchanged" else ["-m", "mountgauge.lab.rig.mutants", name]
+    return subprocess.Popen([sys.executable, "-c", code, str(EVERY_RULE), str(folder / name), *mutant])
+
+
+def test_the_oracle_catches_each_mutated_sender_and_none_that_is_not(tmp_path: Path) -> None:
+    """Eight senders that each break a rule and one that breaks none, on the same schedule of faults."""
+    schedule = load(EVERY_RULE)
+    rigs = {name: _play(name, tmp_path) for name in ("unchanged", *MUTANTS)}
+    assert [name for name, rig in rigs.items() if rig.wait(120)] == []
+    histories = {name: read(tmp_path / name / "events.jsonl") for name in rigs}
+    found = {name: judge(schedule, events, _SLACK) for name, events in histories.items()}
+    judged = found.pop("unchanged")
+    assert [str(one) for one in judged.broken] == []
+    assert judged.taken > 100 and judged.delivered > 50
+    kinds = {event.kind for event in histories["unchanged"]}
+    assert {"offer", "call", "answer", "told", "list-call", "notice", "fault", "gone", "ready"} <= kinds
+    assert [name for name, one in found.items() if MUTANTS[name][0] not in one.rules] == []
+
+
+def test_a_run_leaves_a_folder_that_can_be_judged_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "short.toml"
+    text = EVERY_RULE.read_text()
+    file.write_text(
+        text[: text.index("[[fault]]")].replace("seconds = 7", "seconds = 1").replace("4.5", "1.0")
+    )
+    folder = tmp_path / "run"
+    assert main(["rig", str(file), "--out", str(folder), "--no-page"]) == 0
+    first = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert {path.name for path in folder.iterdir()} >= {
+        "events.jsonl",
+        "figures.json",
+        "schedule.toml",
+        "m01",
+    }
+    assert len(read(folder / "events.jsonl")) > 50
+    assert main(["judge", str(folder), "--no-page"]) == 0
+    again = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert (again["taken"], again["served"]) == (first["taken"], first["served"])
+    (folder / "events.jsonl").write_text('{"at": 1}\n')
+    with pytest.raises(ValueError, match=r"events.jsonl:1: not an event"):
+        main(["judge", str(folder), "--no-page"])
+    with pytest.raises(ConfigError, match="No such file"):
+        main(["rig", str(tmp_path / "none.toml")])
+
+
+def test_the_platforms_path_imports_nothing_of_the_lab() -> None:
+    code = (
+        "import sys, mountgauge.cli, mountgauge.runtime as _; print([m for m in sys.modules if '.lab' in m])"
+    )
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "[]"
