Put a sender together in mountgauge/run: platform, operator, and what both share

Need: runtime.py (500 lines) wired each optional part by name, for the platform and for operators' files at once. Change: run/platform.py, run/operator.py, run/base.py, run/beside.py (another process on the folder), run/serve.py; an optional part is one object (start, serve, reload, drain, stop, report, state, metrics) that the file's sections switch on: tenants, console, status, OTLP, what clients cost. The command line imports what a command needs. holding/line.py names what it asks of its keeper by a Protocol, so the two import each other no more. No behaviour changes; tests follow the new names only.

--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -9,16 +9,11 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
-from mountgauge import __version__, agent
+from mountgauge import __version__
 from mountgauge.core.config import Address, Config, ConfigError
-from mountgauge.holding.descriptors import limits, shortfall
-from mountgauge.holding.turn_watch import watched_loop
 from mountgauge.log import set_up
-from mountgauge.operator_file import load
-from mountgauge.runtime import serve
-from mountgauge.settings_table import read
-from mountgauge.status import ask
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -49,9 +44,20 @@
 def _run(file: Path | None) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop takes it: the file is yet to be read
     set_up()
+    from mountgauge.run.serve import (
+        serve,
+    )  # each command imports what it needs: the platform's start is short
+
     if file is None:
-        asyncio.run(serve(Config.load()))
+        from mountgauge.run.platform import PlatformRuntime
+
+        config = Config.load()
+        asyncio.run(serve(lambda: PlatformRuntime(config)))
         return 0
+    from mountgauge.holding.turn_watch import watched_loop
+    from mountgauge.operator_file import load
+    from mountgauge.run.operator import make
+
     operator = load(file)
     try:
         operator.config.state.mkdir(parents=True, exist_ok=True)
@@ -59,22 +65,30 @@
         raise ConfigError(f"{file}: state: {error.strerror}: {operator.config.state}") from None
     watch, loop = watched_loop()
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
-        runner.run(serve(operator.config, operator, watch))
+        runner.run(serve(lambda: make(operator, watch)))
     return 0
 
 
 def _agent(file: Path) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from mountgauge import agent
+
     found = agent.load_agent(file)
     set_up()
     asyncio.run(agent.serve(found, file))
     return 0
 
 
+def _ask(address: Address, page: str = "/status") -> dict[str, Any]:
+    from mountgauge.status import ask
+
+    return asyncio.run(ask(address, page=page))
+
+
 def _status(text: str) -> int:
     address = Address.parse(text, "address")
     try:
-        found = asyncio.run(ask(address))
+        found = _ask(address)
     except (OSError, ValueError) as error:
         print(f"mountgauge: {text}: no state to be had: {error or type(error).__name__}", file=sys.stderr)
         return 1
@@ -92,7 +106,7 @@
 def _tenants(text: str, as_json: bool) -> int:
     address = Address.parse(text, "address")
     try:
-        found = asyncio.run(ask(address, page="/tenants"))
+        found = _ask(address, "/tenants")
     except (OSError, ValueError) as error:
         print(f"mountgauge: {text}: no tenants to be had: {error or type(error).__name__}", file=sys.stderr)
         return 1
@@ -115,13 +129,19 @@
 
 
 def _check(file: Path) -> int:
+    from mountgauge import agent
+    from mountgauge.holding import descriptors
+    from mountgauge.operator_file import load
+    from mountgauge.settings_table import read
+
     if "instance" in read(file):
         found = agent.load_agent(file)
         print(f"{file}: {len(found.instances)} instances")
     else:
         operator = load(file)
         print(f"{file}: {operator.config.name}, {len(operator.hops.update.hops)} next hops")
-        if (why := shortfall(operator.config.limits.sockets, limits()[1])) is not None:
+        hard = descriptors.limits()[1]
+        if (why := descriptors.shortfall(operator.config.limits.sockets, hard)) is not None:
             print(f"mountgauge: {file}: {why}", file=sys.stderr)
             return 1
     return 0
--- a/mountgauge/holding/line.py
+++ b/mountgauge/holding/line.py
@@ -1,4 +1,5 @@
-"""A connection's transport: a descriptor in the keeper's epoll, and a buffer only while something is unsent.
+"""A connection's transport: a descriptor in the keeper's epoll, and a buffer only while something is
+unsent.
 
 asyncio's own costs some 3 KiB for each connection: a socket object, a deque, a handle and a selector key.
 This one has no more than eight slots. It keeps asyncio's contract: `connection_lost` comes once, from the
@@ -12,22 +13,31 @@
 import os
 import select
 import socket
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from mountgauge.holding.keeper import Keeper
+from typing import Any, Protocol
 
 log = logging.getLogger("mountgauge.holding")
 
 _IN, _OUT = select.EPOLLIN, select.EPOLLOUT
 
 
+class Holder(Protocol):
+    """Who holds a connection: the keeper."""
+
+    def watch(self, fd: int, before: int, mask: int) -> None: ...
+
+    def owes(self, line: Line, count: int) -> None: ...
+
+    def gone(self, line: Line) -> None: ...
+
+    def ended(self, line: Line) -> None: ...
+
+
 class Line(asyncio.Transport):
     """OPEN, CLOSING (nothing is read, what is left is sent), then DONE."""
 
     __slots__ = ("_closing", "_eof", "_keeper", "_mask", "_out", "_protocol", "_reading", "fd")
 
-    def __init__(self, keeper: Keeper, fd: int, protocol: asyncio.BufferedProtocol) -> None:
+    def __init__(self, keeper: Holder, fd: int, protocol: asyncio.BufferedProtocol) -> None:
         # Not `super().__init__`: its dict of extra information would be half of what this object costs.
         self._keeper, self.fd = keeper, fd
         self._protocol: asyncio.BufferedProtocol | None = protocol
--- a/mountgauge/lab/rig/processes.py
+++ b/mountgauge/lab/rig/processes.py
@@ -84,6 +84,7 @@
         self.state.mkdir(parents=True, exist_ok=True)
         self.lives += 1
         env = {**os.environ, "PYTHONPATH": str(_ROOT), "PYTHONUNBUFFERED": "1", **self.env}
+        env.pop("PYTHONDONTWRITEBYTECODE", None)  # else each start compiles the whole program anew
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *(self.command or ["-m", "mountgauge", "run", str(self.folder / "sender.toml")]),
--- a/mountgauge/otlp.py
+++ b/mountgauge/otlp.py
@@ -9,9 +9,7 @@
 import asyncio
 import logging
 import time
-from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -19,26 +17,14 @@
 from mountgauge import __version__
 from mountgauge.http1 import Client, request
 from mountgauge.log import kv
+from mountgauge.snapshot import Measured, Snapshot
 
 log = logging.getLogger("mountgauge.otlp")
 
-# Name, unit, whether it only grows, and the points with their attributes.
-Measured = tuple[str, str, bool, list[tuple[dict[str, str], Any]]]
-
 _LIMIT = 3.0  # s for one export
 _CUMULATIVE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """What is exported, copied at one moment."""
-
-    counts: Counter[tuple[str, str]]
-    held: int
-    slots_used: int
-    slots: int
-
-
 def _sum(name: str, unit: str, start: int, now: int, points: dict[str, int], label: str) -> dict[str, Any]:
     return {
         "name": name,
--- /dev/null
+++ b/mountgauge/run/__init__.py
@@ -0,0 +1,3 @@
+"""Puts a sender together: the platform's (`platform`) or an operator's (`operator`); what both share is
+`base`.
+"""
--- /dev/null
+++ b/mountgauge/run/beside.py
@@ -0,0 +1,105 @@
+"""Another process on the same folder: a hand-over's old or new one. Its journal is adopted once it has
+gone; while it runs, both heed the waits that either was told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from pathlib import Path
+
+from mountgauge.core import shared_waits
+from mountgauge.core.journal import Journal
+from mountgauge.core.sender import Sender
+from mountgauge.log import kv
+
+log = logging.getLogger("mountgauge.run")
+
+LOOK_EVERY = 0.05  # s between looks at what other processes have told
+_ADOPT_LOOKS = 2  # looks from one look at their journals to the next
+_FIRST_LOOKS = 6  # that a new process waits for the old one's waits at its start
+
+
+def slot_of(journal: Path) -> int:
+    """The slot of a journal's file: `journal` is 0, `journal.N` is N."""
+    _, _, number = journal.name.partition(".")
+    return int(number) if number.isdecimal() else 0
+
+
+class Beside:
+    def __init__(self, sender: Sender, journal: Journal, folder: Path, sharing: bool) -> None:
+        """`sharing`: a new process can come beside, on the listening socket that the platform keeps."""
+        self.sender, self.journal, self.folder, self.sharing = sender, journal, folder, sharing
+        self._seen: dict[Path, tuple[int, int]] = {}
+        self._looks = 0
+
+    async def begin(self) -> None:
+        """An older process serves: what it was told to wait binds this one."""
+        if not self.journal.others:
+            return
+        self.tell()
+        for _ in range(_FIRST_LOOKS):
+            if all(self._waits_path(slot_of(path)).exists() for path in self.journal.others):
+                break
+            await asyncio.sleep(LOOK_EVERY)
+        self.hear()
+
+    def look(self) -> None:
+        """Journals of gone processes; and, while another process serves beside this one, its waits."""
+        self._looks += 1
+        if (self._looks % _ADOPT_LOOKS == 0 and self.sharing) or self.journal.others:
+            self.adopt()
+        if self.journal.others:
+            self.hear()
+
+    def adopt(self) -> None:
+        """Messages of a process that has gone from the same folder become this one's."""
+        had = bool(self.journal.others)
+        adopted = self.journal.adopt()
+        if had and not self.journal.others:  # what the gone one was told ended with it
+            for path in self.folder.glob("waits*"):
+                path.unlink(missing_ok=True)
+        elif self.journal.others and not had:  # a newer process beside this one: it is to heed our waits
+            self.tell()
+        if adopted:
+            log.info("adopted", extra=kv(messages=len(adopted)))
+            self.sender.restore(adopted)
+
+    def successor(self) -> bool:
+        """Whether a newer process serves beside this one, on the same listening socket and folder."""
+        self.adopt()
+        return self.sharing and bool(self.journal.others)
+
+    def _waits_path(self, slot: int) -> Path:
+        return self.folder / ("waits" if slot == 0 else f"waits.{slot}")
+
+    def tell(self) -> None:
+        """A wait was told to this process: the one beside it is to heed it too."""
+        if not self.journal.others:
+            return
+        clock = self.sender.clock
+        own = self._waits_path(self.journal.slot)
+        spare = own.with_name(own.name + ".new")
+        try:
+            spare.write_bytes(shared_waits.encode(self.sender.waits, clock.now(), clock.wall()))
+            os.replace(spare, own)
+        except OSError as error:
+            log.warning("waits-not-shared", extra=kv(error=error))
+
+    def hear(self) -> None:
+        clock = self.sender.clock
+        for path in self.folder.glob("waits*"):
+            if path == self._waits_path(self.journal.slot) or path.name.endswith(".new"):
+                continue
+            try:
+                stat = path.stat()
+                if self._seen.get(path) == (stat.st_size, stat.st_mtime_ns):
+                    continue
+                self._seen[path] = (stat.st_size, stat.st_mtime_ns)
+                told = shared_waits.decode(path.read_bytes(), clock.now(), clock.wall())
+            except (OSError, ValueError) as error:
+                log.warning("waits-not-read", extra=kv(path=path.name, error=error))
+                continue
+            if shared_waits.merge(self.sender.waits, told):
+                log.info("waits-heard", extra=kv(waits=len(told)))
--- /dev/null
+++ b/mountgauge/run/console.py
@@ -0,0 +1,40 @@
+"""The operators' console as a part of a sender."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from mountgauge.clients import Clients
+from mountgauge.console.listener import Console
+from mountgauge.console.service import Service
+from mountgauge.core.config import Config
+from mountgauge.core.sender import Sender
+from mountgauge.holding.keeper import Keeper
+from mountgauge.run.parts import Part
+
+
+class ConsolePart(Part):
+    name = "console"
+
+    def __init__(
+        self,
+        sender: Sender,
+        front: Clients | None,
+        keeper: Keeper,
+        config: Config,
+        taking: Callable[[], bool],
+    ) -> None:
+        assert config.console is not None
+        self.address = config.console
+        self.service = Service(sender, front, keeper, config.state, taking)
+        self.console = Console(self.service.carry_out)
+
+    async def serve(self) -> None:
+        await self.console.listen(self.address)
+
+    def reload(self, file: Any) -> list[str]:
+        return []  # its address is compared where the whole file is
+
+    def stop(self) -> None:
+        self.console.close()
--- /dev/null
+++ b/mountgauge/run/operator.py
@@ -0,0 +1,230 @@
+"""An operator's sender: the fronts, next hops and optional parts that its file sets up."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from mountgauge.amqp.clients import AmqpClients
+from mountgauge.amqp.next_hops import AmqpNextHops
+from mountgauge.clients import Clients
+from mountgauge.core.config import Address, ConfigError
+from mountgauge.file_map import FileMap
+from mountgauge.holding.descriptors import raise_soft, shares
+from mountgauge.holding.front import Front
+from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.settings import default_settings
+from mountgauge.holding.vitals import Vitals, client_metrics
+from mountgauge.log import kv
+from mountgauge.next_hops import HttpNextHops
+from mountgauge.notices import Notices
+from mountgauge.operator_file import Hops, Operator, Otlp, load
+from mountgauge.otlp import Exporter
+from mountgauge.router import Router
+from mountgauge.run.base import Runtime, socket_shares
+from mountgauge.run.parts import Part
+from mountgauge.snapshot import Measured
+from mountgauge.status import StatusServer
+
+if TYPE_CHECKING:
+    from mountgauge.holding.turn_watch import TurnWatch
+    from mountgauge.tenants.service import Tenants
+
+log = logging.getLogger("mountgauge.run")
+
+_MOST_PUBLISHERS = 64  # AMQP connections: each may hold a megabyte of bodies under way
+_BROKER_IDLE = 60.0  # s without calls after which a broker's connection is let go
+
+
+class TenantsPart(Part):
+    name = "tenants"
+
+    def __init__(self, tenants: Tenants) -> None:
+        self.tenants = tenants
+
+    async def start(self) -> None:
+        self.tenants.start()
+
+    def reload(self, file: Operator) -> list[str]:
+        return self.tenants.reload(file.tenants) if file.tenants is not None else ["tenant"]
+
+    async def drain(self) -> None:
+        await self.tenants.leave()
+
+    def stop(self) -> None:
+        self.tenants.close()
+
+    def report(self) -> Mapping[str, Any]:
+        return self.tenants.summary()
+
+
+class ClientsPart(Part):
+    """What connections cost."""
+
+    name = "clients"
+
+    def __init__(self, vitals: Vitals) -> None:
+        self.vitals = vitals
+
+    async def serve(self) -> None:
+        self.vitals.baseline()
+
+    def report(self) -> Mapping[str, Any]:
+        return self.vitals.report()
+
+    def state(self) -> Mapping[str, Any]:
+        self.vitals.sample()
+        return self.vitals.state()
+
+    def metrics(self) -> Sequence[Measured]:
+        return client_metrics(self.vitals.report())
+
+
+class StatusPart(Part):
+    name = "status"
+
+    def __init__(self, server: StatusServer, address: Address) -> None:
+        self.server, self.address = server, address
+
+    async def serve(self) -> None:
+        await self.server.listen(self.address)
+
+    def stop(self) -> None:
+        self.server.close()
+
+
+class OtlpPart(Part):
+    name = "otlp"
+
+    def __init__(self, runtime: OperatorRuntime, otlp: Otlp) -> None:
+        self.exporter = Exporter(
+            otlp.host, otlp.port, otlp.path, otlp.interval, runtime.config.name, runtime.snapshot,
+            runtime.tenant_metrics, runtime.measured,
+        )  # fmt: skip
+
+    async def serve(self) -> None:
+        self.exporter.start()
+
+    def stop(self) -> None:
+        self.exporter.close()
+
+
+def make(operator: Operator, watch: TurnWatch | None = None) -> OperatorRuntime:
+    """The sender of a file, within the descriptors that this process may have."""
+    limits = operator.config.limits
+    if (had := raise_soft(limits.sockets)) < limits.sockets:
+        log.warning("descriptors", extra=kv(wanted=limits.sockets, had=had))
+        config = replace(operator.config, limits=replace(limits, sockets=had))
+        operator = replace(operator, config=config)
+    return OperatorRuntime(operator, watch)
+
+
+class OperatorRuntime(Runtime):
+    def __init__(self, operator: Operator, watch: TurnWatch | None = None) -> None:
+        super().__init__(operator.config, operator.notices)
+        self.operator = operator
+        self.tenants: Tenants | None = None
+        rules = self.config.rules
+        _, hops = socket_shares(self.config.limits.sockets, rules.workers)
+        self.sender.told = True  # the file is the whole list
+        http = HttpNextHops(self.sender, rules.connect_timeout, self.config.conn_idle, hops - hops // 2)
+        self._amqp_hops = AmqpNextHops(
+            self.sender, rules.connect_timeout, _BROKER_IDLE, hops // 2, operator.hops.accounts
+        )
+        self.next_hops = Router({"http": http, "amqp": self._amqp_hops}, operator.hops.protocols)
+        self.map = FileMap(self.sender, operator, self._learn)
+        self._fronts()
+        self._parts(watch)
+        self.connect()
+
+    def _learn(self, hops: Hops) -> None:
+        self.next_hops.protocols, self._amqp_hops.accounts = hops.protocols, hops.accounts
+
+    def _fronts(self) -> None:
+        operator, rules, names = self.operator, self.config.rules, self.config.names
+        clients, _ = socket_shares(self.config.limits.sockets, rules.workers)
+        share = clients // ((operator.resp is not None) + (operator.amqp is not None))
+        settings = operator.clients or default_settings(share, _MOST_PUBLISHERS)
+        # The system may give fewer descriptors than the file counts on: next hops and the rest keep theirs.
+        room, _ = shares(self.config.limits.sockets, rules.workers)
+        self.keeper = Keeper(replace(settings, most=min(settings.most, room)))
+        if operator.resp is not None:
+            deadlines = [grade.deadline for grade in rules.grades]
+            resp = Clients(
+                self.sender.submit, names.grades, settings.most_resp, deadlines=deadlines,
+                access=operator.access, keeper=self.keeper,
+            )  # fmt: skip
+            self.listeners.append((resp, operator.resp))
+            self.add_console(resp)
+        if operator.amqp is not None:
+            amqp = AmqpClients(
+                self.sender.submit, names.grades, rules.grades, settings.most_amqp, operator.access,
+                operator.amqp.heartbeat, operator.amqp.exchange, self.keeper,
+            )  # fmt: skip
+            self.fronts["amqp"] = amqp
+            self.listeners.append((amqp, operator.amqp.listen))
+            if operator.resp is None:
+                self.add_console(None)
+
+    def _parts(self, watch: TurnWatch | None) -> None:
+        """What the file's sections switch on."""
+        operator = self.operator
+        pages = {}
+        if operator.tenants is not None:
+            from mountgauge.tenants.service import Tenants  # with its libraries: only where it is asked for
+
+            self.tenants = Tenants(operator.tenants, self.config.name, self.config.state)
+            self.sender.gate = self.tenants
+            self.parts.append(TenantsPart(self.tenants))
+            pages["/tenants"] = self.tenants.report
+        named = {"amqp" if isinstance(one, AmqpClients) else "resp": one for one, _ in self.listeners}
+        fronts = {name: front for name, front in named.items() if isinstance(front, Front)}
+        self.parts.append(ClientsPart(Vitals(self.keeper, fronts, watch)))
+        if operator.status is not None:
+            self.parts.append(StatusPart(StatusServer(self.report, pages), operator.status))
+        if operator.otlp is not None:
+            self.parts.append(OtlpPart(self, operator.otlp))
+
+    def warn(self) -> None:
+        if self.operator.amqp is not None and not self.operator.access.users:
+            log.warning("amqp-open", extra=kv(why="no users: anyone may log in, to any virtual host"))
+
+    def tenant_metrics(self) -> dict[str, Any]:
+        return {} if self.tenants is None else self.tenants.metrics()
+
+    def measured(self) -> list[Measured]:
+        return [one for part in self.parts for one in part.metrics()]
+
+    def reload(self) -> None:
+        try:
+            operator = load(self.operator.path)
+        except ConfigError as error:
+            log.error("reload-failed", extra=kv(error=error, kept="the old settings"))
+            return
+        old, self.operator, self.config = self.operator, operator, operator.config
+        if isinstance(self.notices, Notices) and operator.notices not in (None, old.notices):
+            self.notices.move(operator.notices)
+        for listener, _ in self.listeners:
+            if isinstance(listener, Clients | AmqpClients):
+                listener.access = operator.access
+            if isinstance(listener, AmqpClients) and operator.amqp is not None:
+                listener.heartbeat, listener.exchange = operator.amqp.heartbeat, operator.amqp.exchange
+        self.map.snapshot()
+        needs = [
+            name
+            for name in ("resp", "status", "otlp", "clients")
+            if getattr(operator, name) != getattr(old, name)
+        ]
+        needs += [
+            name for name in ("console", "state", "limits", "settings")
+            if getattr(operator.config, name) != getattr(old.config, name)
+        ]  # fmt: skip
+        if getattr(operator.amqp, "listen", None) != getattr(old.amqp, "listen", None):
+            needs.append("amqp.listen")
+        if self.tenants is None and operator.tenants is not None:
+            needs.append("tenant")
+        for part in self.parts:
+            needs += part.reload(operator)
+        self._told(needs)
--- /dev/null
+++ b/mountgauge/run/serve.py
@@ -0,0 +1,70 @@
+"""Runs a sender in this process until it is asked to end: signals, state lines, looks at the folder."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from mountgauge.log import kv
+from mountgauge.run.base import Runtime
+from mountgauge.run.beside import LOOK_EVERY
+
+log = logging.getLogger("mountgauge.run")
+
+_STATE_EVERY = 5.0  # s
+
+
+async def _state_lines(runtime: Runtime) -> None:
+    """Now and then one line of what the sender believes, to be held against what its peers see."""
+    before = Counter[tuple[str, str]]()
+    while True:
+        await asyncio.sleep(_STATE_EVERY)
+        now = runtime.snapshot()
+        new: dict[str, Any] = {
+            f"{kind}.{what}" if what else kind: n for (kind, what), n in sorted((now.counts - before).items())
+        }
+        before = now.counts
+        new |= runtime.state()
+        log.info("state", extra=kv(held=now.held, slots_used=now.slots_used, **new))
+
+
+async def _looking(runtime: Runtime) -> None:
+    while True:
+        await asyncio.sleep(LOOK_EVERY)
+        runtime.look()
+
+
+async def serve(make: Callable[[], Runtime]) -> None:
+    """`make` puts the sender together, in the running loop."""
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked.set)
+    runtime = make()
+    loop.add_signal_handler(signal.SIGHUP, runtime.reload)
+    await runtime.start()
+    # What lives as long as the process is not walked again; the rest is small enough for short pauses.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    config = runtime.config
+    listens = ",".join(f"{address.host}:{address.port}" for _, address in runtime.listeners)
+    rules, limits = config.rules, config.limits
+    ready = kv(name=config.name, listen=listens, hops=len(runtime.sender.hops), slots=rules.workers,
+               max_open=rules.max_open, sockets=limits.sockets, memory=limits.memory_bytes)  # fmt: skip
+    log.info("ready", extra=ready)
+    runtime.warn()
+    stating = loop.create_task(_state_lines(runtime))
+    looking = loop.create_task(_looking(runtime)) if runtime.polls else None
+    await asked.wait()
+    stating.cancel()
+    if looking is not None:
+        looking.cancel()
+    log.info("stopping", extra=kv(held=len(runtime.sender.held), out=runtime.next_hops.out))
+    await runtime.stop()
+    log.info("stopped", extra=kv(left=len(runtime.journal.live), opened=runtime.next_hops.opened))
--- /dev/null
+++ b/mountgauge/snapshot.py
@@ -0,0 +1,18 @@
+"""What a sender counts, copied at one moment: for metrics, `status` and the state line."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+# Name, unit, whether it only grows, and the points with their attributes.
+Measured = tuple[str, str, bool, list[tuple[dict[str, str], Any]]]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    counts: Counter[tuple[str, str]]
+    held: int
+    slots_used: int
+    slots: int
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -11,7 +11,7 @@
 from mountgauge.amqp import codec
 from mountgauge.http1 import Message, Parser, response
 from mountgauge.operator_file import load
-from mountgauge.runtime import Runtime
+from mountgauge.run.operator import OperatorRuntime
 
 HOST = "127.0.0.1"
 
@@ -392,7 +392,7 @@
         (self.folder / "state").mkdir(exist_ok=True)
         self.write()
         operator = load(self.file)
-        self.runtime = Runtime(operator.config, operator)
+        self.runtime = OperatorRuntime(operator)
         await self.runtime.start()
         listener: Any = self.runtime.listeners[0][0]
         self.port = listener.port
--- a/tests/holding/test_hard.py
+++ b/tests/holding/test_hard.py
@@ -34,7 +34,8 @@
 from mountgauge.holding.settings import ClientSettings, Times, platform_settings
 from mountgauge.holding.turns import QUANTUM
 from mountgauge.holding.vitals import Vitals, client_metrics
-from mountgauge.otlp import Snapshot, encode
+from mountgauge.otlp import encode
+from mountgauge.snapshot import Snapshot
 from mountgauge.status import ask
 from tests.helper import HOST, HttpHop, receive, run, until
 from tests.helper import Transport as Recorder
@@ -520,11 +521,11 @@
 ) -> None:
     file = tmp_path / "many.toml"
     file.write_text(FILE.format(sockets=30_000, resp=1, status=2, hop=3))
-    monkeypatch.setattr(cli, "limits", lambda: (1024, 20_000))
+    monkeypatch.setattr(descriptors, "limits", lambda: (1024, 20_000))
     assert cli.main(["check", str(file)]) == 1
     said = capsys.readouterr()
     assert "30000 descriptors are wanted, this process may have 20000: raise" in said.err
-    monkeypatch.setattr(cli, "limits", lambda: (1024, 30_000))
+    monkeypatch.setattr(descriptors, "limits", lambda: (1024, 30_000))
     assert cli.main(["check", str(file)]) == 0
 
 
--- a/tests/tenants/test_service.py
+++ b/tests/tenants/test_service.py
@@ -409,7 +409,7 @@
 
 def test_on_the_platform_nothing_of_it_is_there() -> None:
     code = (
-        "import sys, mountgauge.cli, mountgauge.runtime, mountgauge.operator_file\n"
+        "import sys, mountgauge.cli, mountgauge.run.platform, mountgauge.run.serve\n"
         "off = 'mountgauge.tenants', 'msgspec', 'blake3', 'sqlite3'\n"
         "print([m for m in sys.modules if m.startswith(off)])"
     )
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -21,7 +21,8 @@
 from mountgauge.core.ports import Call, Item, NextHop, Result
 from mountgauge.http1 import Message, response
 from mountgauge.operator_file import load
-from mountgauge.otlp import Exporter, Snapshot
+from mountgauge.otlp import Exporter
+from mountgauge.snapshot import Snapshot
 from mountgauge.status import StatusServer, ask
 from rillspindle.interface import Entry, Outcome
 from tests.helper import HOST, AmqpClient, Broker, HttpServer, World, read_frame, run, until
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,7 @@
 from mountgauge.http1 import Message, response
 from mountgauge.notices import Notices
 from mountgauge.operator_file import load
-from mountgauge.runtime import Runtime
+from mountgauge.run.operator import OperatorRuntime
 from mountgauge.transport_map import TransportMap
 from tests.helper import HOST, HttpServer, World, run, until
 from tests.test_peers import NAMES, Owner, listing
@@ -166,7 +166,7 @@
 
     async def main() -> None:
         operator = load(file)
-        runtime = Runtime(operator.config, operator)
+        runtime = OperatorRuntime(operator)
         setattr(runtime, "_told", told.append)  # noqa: B010
         await runtime.start()
         runtime.reload()
