Come back by what destinations show: a ramp in the module, phases, what is remembered

Need: eight of ten senders killed at once send 88 calls a second to a partner that bears 24 to 56; a partner that falls over was kept down. At fault: full_since was cleared by each answer; 1/pace as the turn of a pace that nobody has refused yet. Change: policy keeps a share of refusals; where they are most for longer than a limit takes to recover the pace has no floor and rises by answers. With extra.ramp (operators' files, [comeback]) each destination starts so: at startCapacity of the listed part, rising by e^0.6 a second until a call is refused, e^0.3 then; the turn to the next call rises with it, so a thin sender learns as soon as a thick one. mountgauge/comeback: phases, bounds, facts with expiry and origin, identity and life, the pulse that finds pauses; calls are parked until list, drains and the right to the folder have been looked at anew; an emptied folder is written anew. Restored messages go back to the module 256 a turn, and 512 of many held are weighed. mountgauge comeback shows it.

--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `mountgauge run | agent | status | tenants | check | lab`."""
+"""The command line: `mountgauge run | agent | status | tenants | comeback | check | lab`."""
 
 from __future__ import annotations
 
@@ -33,6 +33,13 @@
     tenants = commands.add_parser("tenants", help="show what each tenant has used across the fleet")
     tenants.add_argument("address", nargs="?", default="127.0.0.1:9100", help="default: %(default)s")
     tenants.add_argument("--json", action="store_true", help="as one JSON object")
+    comeback = commands.add_parser("comeback", help="show how far instances have come back")
+    comeback.add_argument("address", nargs="*", default=["127.0.0.1:9100"], help="default: %(default)s")
+    comeback.add_argument("--json", action="store_true", help="as one JSON object a look")
+    comeback.add_argument(
+        "--wait", type=float, metavar="S", help="until all are at full service, S s at most"
+    )
+    comeback.add_argument("--watch", action="store_true", help="a table that renews itself")
     commands.add_parser("lab", add_help=False, help="play schedules of faults on real senders")
     check = commands.add_parser(
         "check", help="read an operator's or agent's file and say what is wrong with it"
@@ -160,6 +167,10 @@
                 return _status(args.address)
             case "tenants":
                 return _tenants(args.address, args.json)
+            case "comeback":
+                from mountgauge.comeback.table import show
+
+                return show(args.address, args.json, args.wait, args.watch)
             case "check":
                 return _check(args.file)
             case "run":
@@ -169,6 +180,8 @@
     except ConfigError as error:
         print(f"mountgauge: {error}", file=sys.stderr)
         return 2
+    except KeyboardInterrupt:
+        return 130
     except OSError as error:  # an address in use, a folder that may not be written
         print(f"mountgauge: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/mountgauge/comeback/files.py
@@ -0,0 +1,66 @@
+"""The folder's side of coming back: identity and record, each written in one piece beside the journal."""
+
+from __future__ import annotations
+
+import os
+import secrets
+from pathlib import Path
+
+from mountgauge.comeback import identity as who
+from mountgauge.comeback import record
+from mountgauge.comeback.identity import Found, Identity
+from mountgauge.comeback.record import Fact, Judged
+
+
+class Folder:
+    """Errors of the file system are the caller's to tell: OSError."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.identity, self.record = folder / "identity", folder / "remembered"
+        self._written = b""
+
+    def arrive(self, name: str, journal: bool) -> tuple[Identity, Found, bool]:
+        """This life's identity, what the folder was, and whether the last life ended as it was asked to."""
+        content = _read(self.identity)
+        mine, found = who.judge(content, name, journal, secrets.token_hex(8))
+        last = who.decode(content) if content is not None else None
+        self.say(mine)
+        return mine, found, found is Found.KEPT and last is not None and last.clean
+
+    def say(self, identity: Identity) -> None:
+        _replace(self.identity, who.encode(identity))
+
+    def stands(self, identity: Identity) -> bool:
+        """Whether the folder still says who this is."""
+        try:
+            return _read(self.identity) == who.encode(identity)
+        except OSError:
+            return False
+
+    def remembered(self, now: float, origin: str, known_version: float) -> Judged:
+        return record.judged(_read(self.record) or b"", now, origin, known_version)
+
+    def remember(self, facts: list[Fact]) -> bool:
+        """Write the facts where they have changed; whether anything was written."""
+        content = record.encode(facts)
+        if content == self._written and self.record.exists():
+            return False
+        _replace(self.record, content)
+        self._written = content
+        return True
+
+
+def _read(path: Path) -> bytes | None:
+    try:
+        with path.open("rb") as file:
+            return file.read(record.MOST_BYTES + 1)
+    except FileNotFoundError:
+        return None
+
+
+def _replace(path: Path, content: bytes) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    spare = path.with_name(path.name + ".new")
+    spare.write_bytes(content)
+    os.replace(spare, path)
--- /dev/null
+++ b/mountgauge/comeback/roads.py
@@ -0,0 +1,42 @@
+"""How each destination does, read off the decision module's records. Nothing here decides."""
+
+from __future__ import annotations
+
+from mountgauge.comeback.phases import Road
+from rillspindle import Policy
+from rillspindle.state import Dest, Route
+
+_ASKED_S = 5.0  # s since the last call in which a destination counts as asked for
+_MOSTLY = 0.5  # share of refusals past which a destination refuses most
+
+
+def held_up(policy: Policy, route: Route, now: float) -> bool:
+    """Whether most calls have been refused for longer than a limit takes to recover."""
+    turns = 2 / max(route.limit or route.pace, policy.pace_least)
+    return route.full > _MOSTLY and now - route.full_since > policy.set.fall + turns
+
+
+def _road(policy: Policy, dest: Dest, route: Route, now: float) -> Road:
+    if held_up(policy, route, now):
+        return Road.HELD_UP
+    asked = dest.taken / max(now - policy.born, 8.0)
+    if not route.ramp or (not dest.held and route.pace >= 2 * asked):
+        return Road.SHOWN
+    return Road.RAMPING
+
+
+def routes_of(dest: Dest) -> list[Route]:
+    found = {id(route): route for route in (dest.route, *(ep.route for ep in dest.endpoints))}
+    return list(found.values())
+
+
+def roads(policy: Policy, now: float) -> dict[int, Road]:
+    """The destinations that are asked for: the worst of each one's routes."""
+    found: dict[int, Road] = {}
+    order = [Road.SHOWN, Road.RAMPING, Road.HELD_UP]
+    for dest in policy.dests.values():
+        routes = [one for one in routes_of(dest) if one.calls or one is dest.route]
+        last = max((one.calls[-1] for one in routes if one.calls), default=-1e9)
+        if dest.held or now - last < _ASKED_S:
+            found[dest.id] = max((_road(policy, dest, one, now) for one in routes), key=order.index)
+    return found
--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -1,4 +1,5 @@
-"""The lasting log: what was taken on, attempted and ended, in one checksummed file that is only appended to.
+"""The lasting log: what was taken on, attempted and ended, in one checksummed file that is only appended
+to.
 
 A record is its payload's length and CRC-32, then the payload: one letter, one JSON value and, behind a
 line feed, the message's body. Data outlasts the process once `write()` has returned, so nothing is synced.
@@ -76,10 +77,13 @@
     return folder / name, folder / f"{name}.new"
 
 
+def _lock_path(folder: Path, slot: int) -> Path:
+    return folder / ("lock" if slot == 0 else f"lock.{slot}")
+
+
 def _lock(folder: Path, slot: int) -> int | None:
     """The slot's lock, held, or None where another process holds it."""
-    name = "lock" if slot == 0 else f"lock.{slot}"
-    lock = os.open(folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    lock = os.open(_lock_path(folder, slot), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError:
@@ -120,6 +124,41 @@
         os.close(self._file)
         os.close(self._lock)
 
+    def standing(self) -> bool:
+        """Whether the folder still holds this journal and its lock, and not others in their place."""
+        try:
+            pairs = ((self.path, self._file), (_lock_path(self.folder, self.slot), self._lock))
+            return all(os.path.samestat(os.stat(path), os.fstat(fd)) for path, fd in pairs)
+        except OSError:
+            return False
+
+    def write_anew(self) -> bool:
+        """The folder was emptied or replaced: all that is live goes into it again, under a new lock.
+
+        False where another process holds the slot now: what the folder has is that one's.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        if (lock := _lock(self.folder, self.slot)) is None:
+            return False
+        content = self._content()
+        file = os.open(self._spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            self._write_all(file, content)
+            os.replace(self._spare, self.path)
+        except OSError:
+            os.close(file)
+            os.close(lock)
+            raise
+        os.close(self._file)
+        os.close(self._lock)
+        self._file, self._lock, self._size = file, lock, len(content)
+        return True
+
+    def _content(self) -> bytes:
+        records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
+        records += [stored.record() for stored in self.live.values()]
+        return b"".join(records)
+
     def adopt(self) -> list[Stored]:
         """Take over the journal of each slot whose process has gone: what is live there is this one's now.
 
@@ -246,9 +285,7 @@
     def _compact(self) -> None:
         if self._size < self._compacted + max(4096, self._compacted // 8):
             return  # nearly all of it is live: writing it anew each time would make no room
-        records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
-        records += [stored.record() for stored in self.live.values()]
-        content = b"".join(records)
+        content = self._content()
         both = _blocks(self._size) + _blocks(len(content)) + self._others_bytes()
         if len(content) >= self._size or both > self._most:
             return
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -5,7 +5,7 @@
 import heapq
 import logging
 import math
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -35,6 +35,7 @@
 
 _NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 _AT_ONCE = 64  # new messages that the module decides on in one turn
+_BACK_AT_ONCE = 256  # messages of an earlier life that one turn gives back to the module
 _ASK_AGAIN_MS = 250
 _GRACE = 0.1  # s past its time after which a message that the module still holds is withdrawn from it
 _KNOWN_FOR = 600.0  # s after it was last listed for which a destination still counts as one that exists
@@ -77,9 +78,13 @@
         self.held: dict[int, Held] = {}
         self.numbers: dict[str, int] = {}
         self.waits: dict[object, float] = {}  # told waits, by what shares the limit
+        self.on_list: Callable[[], None] | None = None  # a list, or word that none has changed, has come
         self.on_wait: Callable[[], None] | None = None  # a wait was told: another process may need it
         self.counts: Counter[tuple[str, str]] = Counter()  # for metrics: ends and outcomes
         self.calls = 0  # slots taken
+        self.fresh: Callable[[], bool] | None = None  # whether what is known is new enough to send by
+        self._parked: list[Call] = []  # until it is
+        self._back: deque[io.Restored] = deque()  # of an earlier life, not yet given back to the module
         self._ready: list[Submission | io.Event] = []
         self._timers: list[tuple[float, int]] = []
         self._last_number = 0
@@ -110,13 +115,18 @@
             held.issued = stored.attempts
             ran = tuple((at + offset, zone) for at, zone in stored.ran)
             grade = self.names.grades.index(stored.grade)
-            self._ready.append(
+            self._back.append(
                 io.Restored(held.number, held.expires, stored.dest, grade, stored.attempts, ran)
             )
         if stored_ones:
             log.info("restored", extra=kv(messages=len(stored_ones), cut_bytes=self.journal.cut))
         self._soon()
 
+    @property
+    def to_restore(self) -> int:
+        """Messages of an earlier life that the module has not been given back yet."""
+        return len(self._back)
+
     def stop(self) -> None:
         """No more turns: what is out still has its outcome journalled, the rest stays in the journal."""
         self._stopped = True
@@ -138,6 +148,13 @@
         self.told = True
         self._learn(update, io.ListKind.FULL if update.full else io.ListKind.DELTA)
         self._soon()
+        if self.on_list is not None:
+            self.on_list()
+
+    def remember(self, fact: io.Remembered) -> None:
+        """What an earlier life knew of a destination."""
+        self._ready.append(fact)
+        self._soon()
 
     def list_failed(self) -> None:
         self._ready.append(io.Targets(io.ListKind.FAILED, self.version, ()))
@@ -236,6 +253,9 @@
         while self._timers and self._timers[0][0] <= now:
             token = heapq.heappop(self._timers)[1]
             ready.extend(self._overdue(token - _WATCHDOG) if token >= _WATCHDOG else [io.Ring(token)])
+        ready.extend(self._back.popleft() for _ in range(min(_BACK_AT_ONCE, len(self._back))))
+        if self._back:  # thousands in one turn would keep clients and next hops waiting
+            self._soon()
         actions: list[io.Action] = []
         fresh: dict[int, tuple[Submission, Held]] = {}
         for one in ready:
@@ -359,7 +379,7 @@
                 case io.StopAttempt(number):
                     held = self.held.get(number)
                     if held is not None and held.call is not None and len(held.call.items) == 1:
-                        self.next_hops.cancel(held.call)
+                        self._cancel(held.call)
                 case io.WriteLog(line):
                     log.info("module", extra=kv(line=line))
                 case _:
@@ -405,7 +425,26 @@
         for item in call.items:
             if item.expires < call.give_up_at:  # its time ends before that of the call that it shares
                 self.clock.call_at(item.expires, lambda item=item: self._item_late(call, item))  # type: ignore[misc]
-        self.next_hops.start(call)
+        if self.fresh is not None and not self.fresh():
+            self._parked.append(call)
+        else:
+            self.next_hops.start(call)
+
+    def release(self) -> None:
+        """What was to be looked at before the next first byte has been: parked calls go if they may."""
+        parked, self._parked = self._parked, []
+        for call in parked:
+            if call.give_up_at > self.clock.now():
+                self.next_hops.start(call)
+            else:
+                self.finished(call, {})
+
+    def _cancel(self, call: Call) -> None:
+        if call in self._parked:
+            self._parked.remove(call)
+            self.finished(call, {})
+        else:
+            self.next_hops.cancel(call)
 
     def _item_late(self, call: Call, item: Item) -> None:
         held = self.held.get(item.number)
@@ -423,6 +462,7 @@
             or (hop.host, hop.port, hop.entry.owner) != (call.hop.host, call.hop.port, call.hop.entry.owner)
             or self.waits.get(self._limit(call.hop), 0.0) > now
             or call.give_up_at <= now
+            or (self.fresh is not None and not self.fresh())
         ):
             return []
         going = []
--- a/mountgauge/file_map.py
+++ b/mountgauge/file_map.py
@@ -44,12 +44,20 @@
     def close(self) -> None:
         self.watch(False)
 
+    def look_now(self) -> bool:
+        """The file as it is at this moment; it needs no waiting."""
+        self._check()
+        return True
+
     def _again(self) -> None:
+        self._check()
+        self._timer = asyncio.get_running_loop().call_later(_LOOK, self._again)
+
+    def _check(self) -> None:
         stamp = self._look()
         if stamp != self._stamp and stamp[0]:
             self._stamp = stamp
             self._read()
-        self._timer = asyncio.get_running_loop().call_later(_LOOK, self._again)
 
     def _read(self) -> None:
         try:
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -9,6 +9,7 @@
 
 from mountgauge.access import Access, User
 from mountgauge.amqp.next_hops import Account
+from mountgauge.comeback.record import ROOM_BYTES as COMEBACK_ROOM
 from mountgauge.core.config import Address, Config, ConfigError, Limits, MapUpdate, Names
 from mountgauge.core.ports import NextHop
 from mountgauge.holding.descriptors import shares
@@ -62,6 +63,7 @@
     access: Access
     tenants: TenantFile | None = None
     clients: ClientSettings | None = None
+    comeback: bool = True
 
 
 def load(path: Path) -> Operator:
@@ -107,6 +109,10 @@
         if disk < _LEAST_JOURNAL:
             least = (need + _LEAST_JOURNAL) / 1e6
             raise ConfigError(f"limits.disk_mb: {least:.1f} at least, for the counts of so many tenants")
+    comeback = top.table("comeback") or Table({}, "comeback")
+    enabled = bool(comeback.get("enabled", bool, default=True))
+    settings["extra"]["ramp"] = enabled
+    disk -= COMEBACK_ROOM if enabled else 0
     access = _access(users, vhost, tenants, resp)
     status_listen = status.address("listen") if status is not None else None
     if status_listen is not None and not status_listen.host.startswith("127."):
@@ -137,11 +143,12 @@
     if (table := top.table("clients")) is not None:
         room, _ = shares(config.limits.sockets, config.rules.workers)
         clients = read_clients(table, room, config.limits.memory_bytes)
-    for table in (top, limits, resp, status, console):
+    for table in (top, limits, resp, status, console, comeback):
         if table is not None:
             table.done()
     return Operator(
-        path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants, clients
+        path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants, clients,
+        enabled,
     )  # fmt: skip
 
 
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -61,6 +61,9 @@
 
 
 class Source(MapSource, Protocol):
+    def look_now(self) -> bool:
+        """Look at the list anew; whether that is done, or its answer is still to come."""
+
     def close(self) -> None: ...
 
 
--- a/mountgauge/run/operator.py
+++ b/mountgauge/run/operator.py
@@ -179,6 +179,10 @@
             self.sender.gate = self.tenants
             self.parts.append(TenantsPart(self.tenants))
             pages["/tenants"] = self.tenants.report
+        if operator.comeback:
+            from mountgauge.run.comeback import ComebackPart
+
+            self.parts.append(ComebackPart(self))
         named = {"amqp" if isinstance(one, AmqpClients) else "resp": one for one, _ in self.listeners}
         fronts = {name: front for name, front in named.items() if isinstance(front, Front)}
         self.parts.append(ClientsPart(Vitals(self.keeper, fronts, watch)))
@@ -223,6 +227,8 @@
         ]  # fmt: skip
         if getattr(operator.amqp, "listen", None) != getattr(old.amqp, "listen", None):
             needs.append("amqp.listen")
+        if operator.comeback != old.comeback:
+            needs.append("comeback.enabled")
         if self.tenants is None and operator.tenants is not None:
             needs.append("tenant")
         for part in self.parts:
--- a/mountgauge/transport_map.py
+++ b/mountgauge/transport_map.py
@@ -52,6 +52,11 @@
         self._whole = True  # the next call asks for the whole list
         self.watch(True)
 
+    def look_now(self) -> bool:
+        """Ask for the whole list at once, whatever was under way: the answer is still to come."""
+        self.move(self._address)
+        return False
+
     def move(self, address: Address) -> None:
         """Another address from now on: its whole list is asked for at once, whatever the old one did."""
         self._address = address
--- a/rillspindle/interface.py
+++ b/rillspindle/interface.py
@@ -69,6 +69,14 @@
     key: int  # 0: none
 
 
+class Remembered(NamedTuple):
+    """What an earlier life knew of a destination: a told wait that still runs, a pace that was lowered."""
+
+    dest: int
+    wait: float  # s from now
+    pace: float  # calls/s of this node; infinite: none
+
+
 class Restored(NamedTuple):
     """A message that an earlier process of this node took on and did not end; never on the wire."""
 
@@ -119,7 +127,9 @@
     content: bytes
 
 
-Event = Targets | Incoming | Restored | Response | UnderWay | Withdrawn | Health | Ring | Whisper
+Event = (
+    Targets | Incoming | Restored | Remembered | Response | UnderWay | Withdrawn | Health | Ring | Whisper
+)
 
 
 # Actions
@@ -226,6 +236,7 @@
     turn_gap: float
     weights: str
     report_fields: tuple[str, ...]
+    ramp: bool  # at the start a destination must show what it bears, whatever limit is listed
 
     @classmethod
     def from_mapping(cls, env: Mapping[str, Any]) -> Settings:
@@ -284,4 +295,5 @@
             turn_gap=float(get("obligations.turnGap", *number, default=0.0)),
             weights=get("weights", str, default="off"),
             report_fields=tuple(get("report.fields", list, tuple, default=())),
+            ramp=get("extra.ramp", bool, default=False),
         )
--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -1,5 +1,4 @@
-# Types of settings, events and actions: interface.py
-"""Every decision of the relay: the HostDB mechanism and its extensions (docs/design.md)."""
+"""Every decision of the relay: the HostDB mechanism and its extensions (docs/design.md, interface.py)."""
 
 from __future__ import annotations
 
@@ -24,9 +23,11 @@
 PROVEN = 2  # failures in a row that may be chance; more are an outage
 BAD_GAIN = 0.25  # weight of the newest outcome in an endpoint's share of bad ones
 UNSAFE_BAD, AILING, DEAD = 0.3, 0.6, 0.8  # shares of bad outcomes: no unsafe message; an outage; down
-PACE_CUT, PACE_FIRST = 0.5, 0.5  # factors of the pace at a refusal as full; the first takes the last second
+PACE_CUT = 0.5  # factor of the pace at a refusal as full; the first one takes the last calls' rate
 PACE_STEP = 0.1  # calls/s by which each success raises the pace: a tenth of any pace in each second
 PACE_BACK, PACE_ON = 0.2, 0.01  # the same as parts of a known limit: while the pace is below it, and past it
+RAMP, RAMP_CUT = 0.6, 0.3  # 1/s by which a pace rises that must be shown: until a call is refused, and then
+FULL_GAIN = 1 / 8  # weight of the newest outcome in a route's share of refusals
 PACE_LEAST = 0.5  # calls/s of all nodes together; under their part of it a pace holds messages past any use
 RATE_SPAN = 8.0  # s over which a route's healthy rate is averaged
 WEIGHT_TRUST = 0.9  # part of a rough or reported limit that is surely there
@@ -38,6 +39,7 @@
 NODES_PER_SLOT = 4  # nodes for each slot of one from which retries fill limits, and each sees little of one
 NODES_PER_PLACE = 16  # the same, from which idle connections fill an endpoint's table
 LIST_CALL = 0.2  # s of discovery's time that a node leaves for each of many others after a failed call
+LOOKED = 256  # held messages that are weighed at once, of the oldest and of the newest
 FORGET = 10  # times the warm-up after which a destination without endpoints or messages is forgotten
 LOG_LINES = 60  # most log lines of one instance
 
@@ -56,10 +58,8 @@
         self.key_free: dict[int, float] = {}
         self.pace_least = PACE_LEAST / self.set.balancers
         self.many = self.set.balancers > NODES_PER_SLOT * self.set.workers
-        self.busy = 0  # slots taken
+        self.busy = self.watch_tries = self.logged = 0  # slots taken, failed list calls, log lines
         self.starved = False  # a message could go but for a slot
-        self.watch_tries = 0
-        self.logged = 0
         self.now = self.born = 0.0
         self.out: list[io.Action] = []
 
@@ -76,6 +76,9 @@
                 self._ring(token)
             case io.Targets():
                 self._list(event)
+            case io.Remembered(dest_id, wait, pace):  # it makes a start more careful, never bolder
+                route = self.dests.setdefault(dest_id, Dest(dest_id)).route
+                route.wait_until, route.pace = max(route.wait_until, now + wait), min(route.pace, pace)
             case io.Withdrawn(msg_id) if msg_id in self.msgs:
                 self._close(self.msgs[msg_id])
         return self.out
@@ -105,20 +108,21 @@
             route = Route() if self.set.routes_apart[entry.kind] else dest.route
             new = Endpoint(entry.endpoint, entry.zone, entry.kind, dest, route, FIRST_USUAL, FIRST_USUAL / 2)
             if (ep := self.eps.setdefault(entry.endpoint, new)) is new:  # what was learned is not of this one
-                route.window_end, route.misses, route.pace = 0.0, 0, max(route.pace, route.limit)
+                route.window_end, route.misses = 0.0, 0
+                route.pace = max(route.pace, route.limit * (not route.ramp))
             ep.ready = entry.readiness == Readiness.READY
             if self.set.weights in ("nominal", "rough") and entry.scale > 0:
                 sure = 1.0 if self.set.weights == "nominal" else WEIGHT_TRUST
                 ep.route.limit = sure * entry.scale / self.set.balancers
                 if self.many and ep.route.pace == math.inf:  # else each is refused before it learns it
                     ep.route.pace = ep.route.limit
-        ready: dict[int, list[Endpoint]] = {}
-        for ep in self.eps.values():
-            if ep.ready:
-                ready.setdefault(ep.dest.id, []).append(ep)
+            if self.set.ramp and not ep.route.ramp and ep.route.rate_at == -math.inf:
+                ep.route.ramp, ep.route.cold_since = RAMP, self.now if ep.route.limit else -math.inf
+                ep.route.pace = min(ep.route.pace, self._ramp_start(ep))
+                ep.route.next_at = self.now + self._turn(ep, self.random.random())
         named = {ep.dest.id for ep in self.eps.values()} | {msg.dest.id for msg in self.msgs.values()}
         for dest in list(self.dests.values()):
-            dest.endpoints = ready.get(dest.id, [])
+            dest.endpoints = [ep for ep in self.eps.values() if ep.ready and ep.dest is dest]
             self._pump(dest)
             latest = max(dest.seen_at, dest.route.rate_at, dest.route.cold_since)
             if dest.id in named:
@@ -171,10 +175,9 @@
 
     def _end(self, msg: Message) -> None:
         """Give up on a message at once: refused where handing in again is harmless, else failed (rule 2)."""
-        if msg.repeatable or not (msg.ran or msg.out):
-            self.out.append(io.PushBack(msg.id, min(self._drain_time(msg.dest), self.set.max_retry_after)))
-        else:
-            self.out.append(io.Abort(msg.id))
+        again = min(self._drain_time(msg.dest), self.set.max_retry_after)
+        harmless = msg.repeatable or not (msg.ran or msg.out)
+        self.out.append(io.PushBack(msg.id, again) if harmless else io.Abort(msg.id))
         self._close(msg)
 
     def _close(self, msg: Message) -> None:
@@ -188,14 +191,13 @@
 
     def _next_of_key(self, msg: Message) -> None:
         """In order by key: the next one may go when all before it are over and have no attempt out."""
-        if (queue := self.keys.get(msg.key)) is None:
-            return
+        queue = self.keys.get(msg.key, deque())
         while queue and queue[0].done and not queue[0].out:
             queue.popleft()
         if queue:
             self._pump(queue[0].dest)
         elif self.key_free.get(msg.key, 0.0) <= self.now:
-            del self.keys[msg.key]
+            self.keys.pop(msg.key, None)
             self.key_free.pop(msg.key, None)
 
     def _ring(self, token: int) -> None:
@@ -214,11 +216,8 @@
     # The gate
     def _may_call(self, ep: Endpoint) -> float:
         """Earliest time at which this endpoint may take a call; infinite if only an event can tell."""
-        route = ep.route
-        at = max(route.wait_until, route.next_at, route.window_end)
-        if not ep.failed_at:
-            return at
-        return math.inf if ep.trial else max(at, ep.window_end)
+        at = max(ep.route.wait_until, ep.route.next_at, ep.route.window_end)
+        return at if not ep.failed_at else math.inf if ep.trial else max(at, ep.window_end)
 
     def _rate_cap(self, ep: Endpoint) -> float:
         """Pace after refusals as full; slow start after an outage (rule 4)."""
@@ -230,6 +229,15 @@
         warm = self.set.start_capacity + (1 - self.set.start_capacity) * max(0.0, age) / self.set.cold
         return min(route.pace, SLOW_START_PART * self.set.fall_multiple * warm * base)
 
+    def _ramp_start(self, ep: Endpoint) -> float:
+        """Calls/s that a cold destination surely takes from this node; an unlisted one: two after another."""
+        return max(self.set.start_capacity * ep.route.limit or 2 / FIRST_USUAL, self.pace_least)
+
+    def _turn(self, ep: Endpoint, part: float = 1.0) -> float:
+        """s to the next call. A ramp rises while it waits: a thin sender would hardly ever learn."""
+        rate, ramp = max(self._rate_cap(ep), self.pace_least) / part, ep.route.ramp
+        return math.log1p(ramp / rate) / ramp if ramp else 1 / rate
+
     def _demand(self, dest: Dest) -> float:
         """Messages a second that this node takes for a destination, over all its time."""
         return dest.taken / max(self.now - self.born, RATE_SPAN)
@@ -237,8 +245,8 @@
     def _window(self, ep: Endpoint) -> float:
         """The fail window grows with the outage, as about demand x age nodes then try (rule 4)."""
         age, gap = self.now - ep.route.down_at, 1 / max(self._demand(ep.dest), self.pace_least)
-        share = TRIAL_SHARE if age < gap else 1.0  # by then the other nodes have met it too
-        share *= self.set.fall_multiple * self.set.start_capacity
+        share = self.set.fall_multiple * self.set.start_capacity  # later the other nodes have met it too
+        share *= TRIAL_SHARE if age < gap else 1.0
         return self._jitter(max(FAIL_WINDOW, min(age, gap) / share))
 
     def _allowed(self, msg: Message, ep: Endpoint) -> bool:
@@ -253,9 +261,8 @@
 
     def _joins(self, ep: Endpoint) -> bool:
         """What goes to one endpoint in one turn travels as one call, up to the kind's batch."""
-        call = ep.calls[-1] if ep.calls else None
-        return (call is not None and call.at == self.now and not call.trial
-                and call.size < self.set.kind_batch[ep.kind])
+        return any(call.at == self.now and not call.trial and call.size < self.set.kind_batch[ep.kind]
+                   for call in ep.calls[-1:])
 
     def _turn_at(self, msg: Message) -> float:
         """Order by key (rule 6) and the rest after an error."""
@@ -263,7 +270,6 @@
             return math.inf
         return max(msg.not_before, 0.0 if msg.attempts else self.key_free.get(msg.key, 0.0))
 
-    # The pump
     def _pump(self, dest: Dest) -> None:
         """Send what may go of what is held, dearest first; ask to be woken for the rest."""
         if not dest.held:
@@ -274,8 +280,10 @@
             self.starved = True  # what is held is not looked through where nothing can go
         elif open_gate:
             then = self.now + self._drain_time(dest)
-            loss = {m.id: m.worth(then) - m.worth(self.now) for m in dest.held.values()}
-            for msg in sorted(dest.held.values(), key=lambda m: (loss[m.id], m.born)):
+            held = list(dest.held.values())
+            held = held[:LOOKED] + held[max(LOOKED, len(held) - LOOKED) :]  # of restored ones and of new ones
+            loss = {m.id: m.worth(then) - m.worth(self.now) for m in held}
+            for msg in sorted(held, key=lambda m: (loss[m.id], m.born)):
                 if (turn := self._turn_at(msg)) > self.now:
                     wake = min(wake, turn)
                 elif (ep := self._choose(msg)) is not None:
@@ -310,7 +318,7 @@
             ep.calls.append(call)
             self.busy += 1
             ep.route.calls.append(self.now)
-            ep.route.next_at = max(ep.route.next_at, self.now) + 1 / max(self._rate_cap(ep), self.pace_least)
+            ep.route.next_at = max(ep.route.next_at, self.now) + self._turn(ep)
             if ep.failed_at:  # the zombie is marked down again at once
                 ep.trial, ep.window_end = True, self.now + self._window(ep)
                 if ep.route.misses > PROVEN:  # one trial for all endpoints of a route
@@ -320,8 +328,7 @@
         del msg.dest.held[msg.id]
         msg.out[msg.attempts] = call
         msg.attempts += 1
-        # silence must not hold the slots: no connect time where a repeat is harmless, and for no longer than
-        # a try is worth, also with estimates that time-outs have raised
+        # silence must not hold slots: no connect time where a repeat is harmless, no longer than it is worth
         # a message that takes long takes long again: what has timed out is given longer each time
         patience = max(ep.usual + LATE_DEVS * ep.dev, LEAST_PATIENCE * msg.grade.aim)
         patience *= 2 ** min(len(msg.ran), 3)
@@ -336,7 +343,6 @@
     def _jitter(self, span: float) -> float:
         return span * (1 + JITTER * self.random.random())
 
-    # Outcomes
     def _outcome(self, event: io.Response) -> None:
         msg = self.msgs.get(event.msg_id) or self.late.get(event.msg_id)
         if msg is None or event.send_no not in msg.out:
@@ -401,8 +407,9 @@
         if call.judged and (outcome != Outcome.OK or call.judged == Outcome.OK):
             return
         call.judged = outcome
-        reported = dict(zip(self.set.report_fields, event.stats, strict=False)).get("x1", 0.0)
-        if reported > 0:
+        ep.route.full += FULL_GAIN * ((outcome == Outcome.FULL) - ep.route.full)
+        ep.route.full_since = min(ep.route.full_since, self.now) if ep.route.full > 0.5 else math.inf
+        if (reported := dict(zip(self.set.report_fields, event.stats, strict=False)).get("x1", 0.0)) > 0:
             ep.route.limit = reported / self.set.balancers * WEIGHT_TRUST
         if outcome == Outcome.OK:
             self._answered(ep, event.spent)
@@ -410,13 +417,11 @@
             self._full(call, event.remark_ms / 1000)
         elif outcome == Outcome.ERROR:
             ep.answered_at = self.now
-            self._bad(call, ep.bad > DEAD or (self.many and self.now - ep.route.rate_at > RATE_SPAN), "error")
-        elif outcome == Outcome.CONNECT_FAILED:
-            self._bad(call, ep.answered_at < call.at, "no connection")  # others get through: table full
-        elif outcome in (Outcome.TIMEOUT, Outcome.RESET):
+            self._bad(call, ep.bad > DEAD or (self.many and self.now - ep.route.rate_at > RATE_SPAN))
+        elif outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
             if outcome == Outcome.TIMEOUT:  # a slow endpoint is found by longer waits, within bounds
                 ep.dev = max(ep.dev, event.spent / 8)
-            self._bad(call, ep.answered_at < call.at, "no answer" if outcome == Outcome.TIMEOUT else "reset")
+            self._bad(call, ep.answered_at < call.at)  # where others get through its table is full
         if call.trial:
             ep.trial = False
 
@@ -428,52 +433,48 @@
         ep.dev += SMOOTH_DEV * (abs(spent - ep.usual) - ep.dev)
         ep.usual += SMOOTH * (spent - ep.usual)
         if ep.failed_at:
-            self._live(ep)
+            # a lone failure while it warms up is chance: starting over each time would never let it warm up
+            if route.misses > PROVEN or ep.bad > AILING:
+                route.cold_since = self.now
+            ep.failed_at, ep.trial, ep.bad = 0.0, False, min(ep.bad, UNSAFE_BAD)
+            self._log(f"up {ep.id.hex()}: answered")
         ep.misses = 0
         if self.now - route.cold_since >= self.set.cold:
             route.rate = route.rate * math.exp((route.rate_at - self.now) / RATE_SPAN) + 1 / RATE_SPAN
         if route.rate_at < route.cold_since:  # slow start counts from the first answer, at any endpoint
             route.cold_since = self.now
-        route.rate_at = self.now
-        route.misses, route.window_end, route.full_since = 0, 0.0, math.inf
-        route.pace += (PACE_BACK if route.pace < route.limit else PACE_ON) * route.limit or PACE_STEP
-
-    def _live(self, ep: Endpoint) -> None:
-        # a lone failure while it warms up is chance: starting over each time would never let it warm up
-        if ep.route.misses > PROVEN or ep.bad > AILING:
-            ep.route.cold_since = self.now
-        ep.failed_at, ep.trial, ep.bad = 0.0, False, min(ep.bad, UNSAFE_BAD)
-        self._log(f"up {ep.id.hex()}: answered")
+        if route.ramp:  # an answer vouches for the time since the one before, a turn of the pace at most
+            route.pace = max(route.pace, self._ramp_start(ep))
+            route.pace *= math.exp(route.ramp * min(self.now - route.rate_at, self._turn(ep)))
+            if route.pace >= max(route.limit, 2 * self._demand(ep.dest)):
+                route.ramp, route.pace = 0.0, route.limit or math.inf
+        else:
+            route.pace += (PACE_BACK if route.pace < route.limit else PACE_ON) * route.limit or PACE_STEP
+        route.rate_at, route.misses, route.window_end = self.now, 0, 0.0
 
     def _full(self, call: Call, wait: float) -> None:
         """Over its limit, or shut: heed a told wait (rule 5) and lower the pace."""
         ep, route = call.ep, call.ep.route
-        route.full_since = min(route.full_since, self.now)
         if wait > self.set.fall:  # longer than a limit needs: shut, and cold when it opens
             route.cold_since = route.wait_until
         if self.now - ep.answered_at > self.set.fall:  # full and nothing else: shut, not over its limit
-            self._bad(call, False, "full")
+            self._bad(call, False)
         if self.now - route.cut_at >= 1.0:  # halved at most once a second
             route.cut_at = self.now
-            if route.pace == math.inf:
-                recent = PACE_FIRST * len([at for at in route.calls if at > self.now - RATE_SPAN]) / RATE_SPAN
-            else:
-                recent = PACE_CUT * route.pace
+            recent = len([at for at in route.calls if at > self.now - RATE_SPAN]) / RATE_SPAN
+            recent = max(self.pace_least, PACE_CUT * (recent if route.pace == math.inf else route.pace))
             # one of many nodes sees too few refusals to tell a lowered limit from a clump: it goes below it
-            floor = route.limit * (PACE_CUT if self.many else 1.0)
-            if self.now - route.full_since > self.set.fall + PROVEN / (route.limit or route.pace):
-                floor = 0.0  # refused only, for longer than a limit takes to recover: floors may hold that up
-            route.pace = max(self.pace_least, floor, recent)
+            if route.ramp or self.now - route.full_since > self.set.fall + PROVEN / (route.limit or recent):
+                route.ramp = RAMP_CUT  # longer than a limit takes to recover: floors may hold it up
+            floor = 0.0 if route.ramp else route.limit * (PACE_CUT if self.many else 1.0)
+            route.pace = max(floor, recent)
         # a turn of the pace, at random: many nodes are refused, or told to wait, at one time
         rest = (1 + self.many) * self.random.random() / max(route.pace, self.pace_least)
         route.next_at = max(route.next_at, max(self.now, route.wait_until) + rest)
 
-    def _bad(self, call: Call, fatal: bool, reason: str) -> None:
-        """An outcome that is no success; a fatal one marks the endpoint down.
-
-        A lone failure may be chance where an answer vouches for the route: it opens one trial at once. A
-        second opens a part of the fail window, a third all of it and slow start, as a run of bad ones does.
-        """
+    def _bad(self, call: Call, fatal: bool) -> None:
+        """No success; a fatal one marks the endpoint down. A lone one may be chance where an answer vouches
+        for the route: it opens one trial at once; a second a part of the fail window, a third all of it."""
         ep, route = call.ep, call.ep.route
         ep.bad, ep.misses = ep.bad + BAD_GAIN * (1 - ep.bad), ep.misses + fatal
         if ep.bad > AILING or route.misses > PROVEN:
@@ -481,7 +482,7 @@
         if not fatal:
             return
         if not ep.failed_at:
-            self._log(f"down {ep.id.hex()}: {reason}")
+            self._log(f"down {ep.id.hex()}: {Outcome(call.judged).name.lower()}")
         if not route.misses:
             route.down_at = call.at
         # no answer vouches for a route called rarely: a failure is an outage, not chance
@@ -494,6 +495,6 @@
             route.window_end = later
 
     def _log(self, line: str) -> None:
-        self.logged += 1
-        if self.logged <= LOG_LINES:
+        if self.logged < LOG_LINES:
+            self.logged += 1
             self.out.append(io.WriteLog(line))
