Test coming back with processes on the rig, fleets of modules in virtual time, and the pure parts

Need: each hard case is to be caused by a test. Scenes: folders lost, old, cut, another's and emptied under a running sender; a sender paused through a drain, a removal and a told wait; a partner that never warms; the outage that the fleet kept up; 1, 10 and 200 modules against a cold partner, with the ramp and without, on one seed.

--- /dev/null
+++ b/benchmarks/comeback_model.py
@@ -0,0 +1,191 @@
+"""A fleet of decision modules in virtual time against one partner: hundreds of members in seconds.
+
+Each member is a `Policy` of its own, fed by messages, answers and its own timers; the partner is the rig's
+`Bearing`. Nothing else exists: no sockets, no processes, no clock but the one that is counted here. The
+same seed gives the same figures.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from mountgauge.lab.rig.bearing import Bearing
+from rillspindle import Policy
+from rillspindle import interface as io
+from rillspindle.interface import Entry, ListKind, Outcome, Readiness
+
+ENDPOINT = b"e7-0"
+ANSWER_S = 0.05
+DEADLINE_S = 12.0
+
+
+def settings(members: int, slots: int, ramp: bool) -> dict[str, Any]:
+    """What a member of an operator's file is told."""
+    grade = {"name": "note", "semantics": "idempotent", "deadline": DEADLINE_S, "aim": 2.0, "group": "all",
+             "worth": 1.0, "lateWorth": 0.3, "repeatWindow": 25.0}  # fmt: skip
+    return {
+        "balancers": members, "zone": 0, "tick": 0.005, "discovery": "subscribe", "weights": "nominal",
+        "grades": [grade], "localities": [], "shapes": ["k"],
+        "ceilings": {"attemptsCap": 8, "cancel": True, "connectTimeout": 1.5, "maxOpen": 400,
+                     "maxRetryAfter": 2.0, "mayDuplicate": False, "probes": False},
+        "extra": {"kindBatch": [1], "losesWorth": "even", "routesApart": [False], "workers": slots,
+                  "ramp": ramp},
+        "obligations": {"askWithin": 10.0, "cold": 14.0, "fall": 1.5, "fallMultiple": 2.0,
+                        "startCapacity": 0.17},
+        "report": {"fields": [], "via": "off"},
+    }  # fmt: skip
+
+
+@dataclass(eq=False)
+class _Member:
+    policy: Policy
+    offset: float  # its start on the common clock
+    attempts: Counter[int] = field(default_factory=Counter)
+
+
+@dataclass(eq=False)
+class Fleet:
+    """`members` modules with `offered` messages/s in all at a partner of `rate` calls/s."""
+
+    members: int
+    rate: float
+    offered: float
+    seed: int = 1
+    slots: int = 4
+    ramp: bool = True
+    bearing: Bearing = field(default_factory=lambda: Bearing(100))
+    served: list[float] = field(default_factory=list)
+    refused: list[float] = field(default_factory=list)
+    ended: int = 0
+
+    def __post_init__(self) -> None:
+        self.now = 0.0
+        self._queue: list[tuple[float, int, int, str, tuple[Any, ...]]] = []
+        self._count = 0
+        self._number = 0
+        self._rng = random.Random(self.seed)
+        self._owner: dict[int, int] = {}
+        self.lives: list[_Member] = [self._new(place) for place in range(self.members)]
+
+    def _new(self, place: int) -> _Member:
+        policy = Policy(settings(self.members, self.slots, self.ramp), self._rng.getrandbits(60))
+        member = _Member(policy, self.now)
+        return member
+
+    def begin(self) -> None:
+        """All members start now, with their list."""
+        for place in range(self.members):
+            self.start(place)
+
+    def start(self, place: int, held: int = 0) -> None:
+        """A member starts anew; `held` messages of its earlier life come back to it."""
+        self.lives[place] = self._new(place)
+        entry = Entry(Readiness.READY, 0.0, self.rate, 0, 7, 0, ENDPOINT)
+        self._feed(place, io.Targets(ListKind.CACHED, 1, (entry,)))
+        for _ in range(held):
+            self._number += 1
+            self._feed(place, io.Restored(self._number, self.now + DEADLINE_S, 7, 0, 0, ()))
+
+    def _at(self, when: float, place: int, what: str, *args: Any) -> None:
+        self._count += 1
+        heapq.heappush(self._queue, (when, self._count, place, what, args))
+
+    def _feed(self, place: int, event: io.Event) -> None:
+        member = self.lives[place]
+        for action in member.policy.handle(event, 1000.0 + self.now):
+            match action:
+                case io.Issue(number, endpoint, _):
+                    send = member.attempts[number]
+                    member.attempts[number] += 1
+                    taken = self.bearing.call(self.now)
+                    (self.served if taken else self.refused).append(self.now)
+                    took = ANSWER_S if taken else 0.002
+                    self._at(self.now + took, place, "answer", member, number, endpoint, send, taken, took)
+                case io.Schedule(delay, token):
+                    self._at(self.now + delay, place, "ring", member, token)
+                case io.PushBack() | io.Abort():
+                    self.ended += 1
+
+    def play(self, seconds: float) -> None:
+        """So many seconds on, with messages at random members."""
+        until = self.now + seconds
+        next_offer = self.now + self._rng.expovariate(self.offered)
+        while True:
+            when = self._queue[0][0] if self._queue else until
+            if min(when, next_offer) >= until:
+                break
+            if next_offer <= when:
+                self.now = next_offer
+                next_offer += self._rng.expovariate(self.offered)
+                self._number += 1
+                place = self._rng.randrange(self.members)
+                self._feed(
+                    place, io.Incoming(self._number, 0, 1000.0 + self.now + DEADLINE_S, 0, 0.0, 7, 0, 0)
+                )
+                continue
+            when, _, place, what, args = heapq.heappop(self._queue)
+            self.now = max(self.now, when)
+            if args[0] is not self.lives[place]:
+                continue  # of a process that is gone
+            if what == "ring":
+                self._feed(place, io.Ring(args[1]))
+            else:
+                _, number, endpoint, send, taken, took = args
+                outcome = Outcome.OK if taken else Outcome.FULL
+                self._feed(place, io.Response(number, took, endpoint, outcome, send, taken, 0, (), False))
+        self.now = until
+
+
+def scene(
+    members: int, seed: int, ramp: bool, falls_at: float = 0.0, seconds: float = 20.0
+) -> Mapping[str, float]:
+    """Four in five members start anew at one moment, and the partner goes cold."""
+    fleet = Fleet(members, 100.0, 80.0, seed, max(4, 40 // members), ramp, Bearing(100.0, falls_at=falls_at))
+    fleet.bearing.cold_at = -1e9
+    fleet.begin()
+    fleet.play(15.0)
+    zero = fleet.now
+    fleet.bearing.go_cold(zero)
+    for place in fleet._rng.sample(range(members), max(1, members * 4 // 5)):
+        held = len(fleet.lives[place].policy.msgs)
+        fleet.start(place, held)
+    could = fleet.bearing.could(zero, zero + 5)
+    fleet.play(seconds)
+    served = [at for at in fleet.served if zero <= at < zero + 5]
+    refused = [at for at in fleet.refused if zero <= at < zero + 5]
+    last = [at for at in fleet.served if at >= zero + seconds - 5]
+    return {
+        "served_share_5s": round(len(served) / could, 3),
+        "refused_share": round(len(refused) / max(1, len(served) + len(refused)), 3),
+        "last_5s_per_s": len(last) / 5, "fell": fleet.bearing.fell, "ended": fleet.ended,
+        "before_per_s": len([at for at in fleet.served if zero - 5 <= at < zero]) / 5,
+        "refused_all": len([at for at in fleet.refused if at >= zero]),
+    }  # fmt: skip
+
+
+def lowered(members: int, seed: int, ramp: bool) -> Mapping[str, float]:
+    """The limit is at 0.4 of what is listed for 20 s: calls a second served and refused meanwhile, and
+    after it.
+    """
+    fleet = Fleet(members, 100.0, 80.0, seed, max(4, 40 // members), ramp, Bearing(100.0))
+    fleet.bearing.cold_at = -1e9
+    fleet.begin()
+    fleet.play(15.0)
+    zero = fleet.now
+    fleet.bearing.cut = 0.4
+    fleet.play(20)
+    fleet.bearing.cut = 1.0
+    fleet.play(15)
+
+    def rate(times: list[float], begin: float, end: float) -> float:
+        return len([at for at in times if begin <= at - zero < end]) / (end - begin)
+
+    return {
+        "served": rate(fleet.served, 5, 20), "refused": rate(fleet.refused, 5, 20),
+        "after_5_s": rate(fleet.served, 25, 30), "after_10_s": rate(fleet.served, 30, 35),
+    }  # fmt: skip
--- a/mountgauge/lab/rig/play.py
+++ b/mountgauge/lab/rig/play.py
@@ -35,18 +35,9 @@
 
 _BEARS_EVERY = 0.05  # s between two records of what a partner bears
 _KEPT_LINES = (
-    "phase",
-    "full-service",
-    "held-up",
-    "stale",
-    "remembered-dropped",
-    "new-life",
-    "ready",
-    "restored",
-    "budget",
-    "paused",
-    "folder",
-)
+    "phase", "full-service", "held-up", "stale", "remembered", "life", "ready", "restored", "budget",
+    "paused", "folder",
+)  # fmt: skip
 _RIGS = itertools.count(os.getpid())
 
 
--- /dev/null
+++ b/tests/comeback/test_module.py
@@ -0,0 +1,107 @@
+"""The decision module's ramp, in virtual time: fleets of modules against a partner that comes back cold."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.comeback_model import Fleet, lowered, scene
+from mountgauge.comeback.phases import Road
+from mountgauge.comeback.roads import roads
+from mountgauge.lab.rig.bearing import Bearing
+from rillspindle import interface as io
+from rillspindle.interface import ListKind, Outcome
+from tests.driver import Driver, entry
+from tests.settings import settings
+
+
+@pytest.mark.parametrize(("members", "share", "refused"), [(1, 0.8, 0.1), (10, 0.75, 0.1), (200, 0.6, 0.2)])
+def test_a_fleet_that_restarts_follows_what_a_cold_partner_bears(
+    members: int, share: float, refused: float
+) -> None:
+    """Four in five start anew as the partner goes cold; it falls over at half as much again as it bears."""
+    found = scene(members, 3, True, falls_at=1.5)
+    without = scene(members, 3, False, falls_at=1.5)
+    assert found["served_share_5s"] >= share > without["served_share_5s"]
+    assert found["refused_share"] <= refused < without["refused_share"]
+    assert found["fell"] == 0 < without["fell"]
+    assert found["last_5s_per_s"] >= 55, "and it comes back"
+
+
+def test_no_outage_holds_itself_up_without_the_ramp_either() -> None:
+    """Half of the calls in a second more than a partner bears, and it starts cold anew: the floor would do
+    that.
+    """
+    for members in (1, 10, 40):
+        found = scene(members, 2, False, falls_at=1.5, seconds=45.0)
+        assert found["last_5s_per_s"] >= 40, members
+
+
+def test_a_lowered_limit_is_found_and_used_again() -> None:
+    found = lowered(10, 1, True)
+    assert found["served"] >= 28 and found["refused"] <= 20 and found["after_10_s"] >= 70
+
+
+def test_one_seed_gives_one_history() -> None:
+    def play() -> tuple[list[float], list[float]]:
+        fleet = Fleet(10, 100.0, 80.0, 7, 4, True, Bearing(100.0, falls_at=1.5))
+        fleet.begin()
+        fleet.play(8)
+        return fleet.served, fleet.refused
+
+    assert play() == play()
+
+
+def test_what_an_earlier_life_knew_makes_a_start_more_careful_never_bolder() -> None:
+    env = settings(weights="nominal", extra={**settings()["extra"], "ramp": True})
+    fresh, knowing, boasting = Driver(env), Driver(env), Driver(env)
+    knowing.feed(io.Remembered(0, 1.5, 0.25))
+    boasting.feed(io.Remembered(0, 0.0, 1e9))
+    for d in (fresh, knowing, boasting):
+        d.targets(ListKind.CACHED, entry(1, scale=20.0))
+    paces = [d.policy.dests[0].route.pace for d in (fresh, knowing, boasting)]
+    assert paces[1] == 0.25 < paces[0] == paces[2] == 20.0 / 2 * 0.2
+    knowing.incoming(1)
+    knowing.advance(knowing.now + 1.4)
+    assert not knowing.held[1].sends, "the told wait still runs"
+    knowing.advance(knowing.now + 8)
+    assert knowing.held[1].sends
+
+
+def test_roads_tell_ramping_shown_and_held_up_apart() -> None:
+    env = settings(weights="nominal", extra={**settings()["extra"], "ramp": True})
+    d = Driver(env)
+    d.targets(ListKind.CACHED, entry(1, scale=20.0))
+    assert roads(d.policy, d.now) == {}, "nobody asks for it"
+
+    def ask(seconds: float, outcome: int) -> None:
+        for _ in range(round(seconds * 20)):
+            d.incoming(len(d.held), left=8)
+            d.advance(d.now + 0.05)
+            for msg, attempt in d.pending():
+                d.respond(msg, outcome, number=attempt)
+
+    ask(0.5, Outcome.OK)
+    assert roads(d.policy, d.now) == {0: Road.RAMPING}
+    ask(12, Outcome.OK)
+    assert roads(d.policy, d.now) == {0: Road.SHOWN}
+    ask(12, Outcome.FULL)
+    assert roads(d.policy, d.now) == {0: Road.HELD_UP}
+    ask(30, Outcome.OK)
+    assert roads(d.policy, d.now) == {0: Road.SHOWN}
+
+
+def test_thousands_restored_for_one_destination_leave_another_alone() -> None:
+    env = settings(weights="nominal", extra={**settings()["extra"], "ramp": True, "workers": 16})
+    env["ceilings"] = {**env["ceilings"], "maxOpen": 40_000}
+    d = Driver(env)
+    d.targets(ListKind.CACHED, entry(1, scale=20.0), entry(2, dest=1, scale=200.0))
+    for number in range(3000):
+        d.policy.handle(io.Restored(10_000 + number, d.now + 60, 0, 0, 0, ()), d.now)
+    served = 0
+    for number in range(200):
+        d.incoming(number, dest=1, left=8)
+        d.advance(d.now + 0.05)
+        for msg, attempt in d.pending():
+            served += msg < 10_000
+            d.respond(msg, Outcome.OK, number=attempt)
+    assert served >= 190
--- /dev/null
+++ b/tests/comeback/test_processes.py
@@ -0,0 +1,141 @@
+"""Real senders on the rig: killed, paused, with folders of every kind. Judged by counts and orders."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mountgauge.lab.rig.events import Event, read
+from mountgauge.lab.rig.oracle import Judged, judge
+from mountgauge.lab.rig.schedule import Schedule, load
+
+SCENES = Path(__file__).parent.parent.parent / "experiments" / "comeback"
+_SLACK = 0.6  # s that a busy machine may add: the schedules' pauses, waits and drains are far longer
+
+
+class Played:
+    def __init__(self, schedule: Schedule, folder: Path) -> None:
+        self.schedule = schedule
+        self.events: list[Event] = read(folder / "events.jsonl")
+        self.judged: Judged = judge(schedule, self.events, _SLACK)
+
+    def logs(self, event: str) -> list[dict[str, Any]]:
+        return [
+            {"member": one.fields["member"], "at": one.at, **one.fields["pairs"]}
+            for one in self.events if one.kind == "log" and one.fields["event"] == event
+        ]  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Played]:
+    """The scenes, each on a rig in a process of its own."""
+    code = (
+        "import sys; from pathlib import Path; from mountgauge.lab.rig import play, schedule\n"
+        "one = schedule.load(Path(sys.argv[1]))\n"
+        "play.play(one.with_(seconds=float(sys.argv[3])), Path(sys.argv[2]))"
+    )
+    root, found = tmp_path_factory.mktemp("scenes"), dict[str, Played]()
+    seconds = {"folders": 9, "paused": 9, "never-warms": 16, "falls-over": 20}
+    rigs = {
+        name: subprocess.Popen(
+            [sys.executable, "-c", code, str(SCENES / f"{name}.toml"), str(root / name), str(length)]
+        )
+        for name, length in seconds.items()
+    }
+    assert [name for name, rig in rigs.items() if rig.wait(240)] == []
+    for name in rigs:
+        found[name] = Played(load(SCENES / f"{name}.toml"), root / name)
+    return found
+
+
+def test_no_rule_is_broken_in_any_scene(played: dict[str, Played]) -> None:
+    for name, one in played.items():
+        assert [str(broken) for broken in one.judged.broken] == [], name
+        assert one.judged.delivered > 100
+
+
+def test_an_outage_that_the_fleet_would_hold_up_ends_by_itself(played: dict[str, Played]) -> None:
+    one = played["falls-over"]
+    statuses = Counter(
+        (event.fields["status"], event.at > 12)
+        for event in one.events
+        if event.kind == "answer" and event.at > 0.5
+    )
+    assert statuses[200, True] > 5 * statuses[503, True], "from 12 s on nearly all calls are served"
+    assert statuses[200, False] + statuses[200, True] > 700
+    assert sum(event.kind == "fell" for event in one.events) <= 8
+    full = {line["member"] for line in one.logs("full-service") if line["at"] > 0}
+    killed = next(event.fields["who"] for event in one.events if event.kind == "fault")
+    assert full == set(killed), "each that came back says when it was at full service"
+
+
+def test_a_paused_sender_acts_on_nothing_that_it_knew_before(played: dict[str, Played]) -> None:
+    one = played["paused"]
+    assert {line["member"] for line in one.logs("paused")} == {"m01"}
+    resumed = next(event.at for event in one.events if event.kind == "paused") + 4
+    late = [event for event in one.events if event.kind == "call" and event.at > resumed + 0.05]
+    assert {event.fields["endpoint"] for event in late if event.fields["member"] == "m01"} == {"e7-2", "e8-0"}
+    assert one.judged.taken == one.judged.delivered
+
+
+def test_folders_of_every_kind_are_told_apart_and_nothing_kept_is_lost(played: dict[str, Played]) -> None:
+    one = played["folders"]
+    second = {line["member"]: line["found"] for line in one.logs("life") if line["at"] > 0}
+    assert second["m01"] == "first" and second["m02"] == second["m06"] == "kept"
+    assert second["m03"] in ("damaged", "kept", "no-identity", "first"), "cut at a place of its own"
+    assert second["m04"] == second["m05"] == "foreign"
+    emptied = one.logs("folder-emptied")
+    assert [line["member"] for line in emptied] == ["m06"]
+    assert one.judged.with_folder <= 80, "what was lost with a folder is counted, and no more than was held"
+
+
+def test_one_that_refuses_everything_gets_single_trials_and_harms_nobody(played: dict[str, Played]) -> None:
+    played: dict[str, Played],
+) -> None:
+    one = played["never-warms"]
+    at = [event.at for event in one.events if event.kind == "call" and event.fields["dest"] == 7]
+    calls = Counter(int(when // 4) for when in at)
+    assert calls[3] <= 0.25 * calls[0] and calls[3] <= 20, calls
+    assert {line["dest"] for line in one.logs("held-up")} == {"7"}
+    other = [e for e in one.events if e.kind == "answer" and e.fields["dest"] == 8 and e.at > 0]
+    offered = sum(e.kind == "offer" and e.fields["dest"] == 8 and e.at > 0 for e in one.events)
+    assert sum(event.fields["status"] == 200 for event in other) >= 0.95 * offered
+
+
+def test_comeback_waits_until_all_are_full(tmp_path: Path) -> None:
+    file = tmp_path / "one.toml"
+    (tmp_path / "state").mkdir()
+    file.write_text(
+def test_a_partner_that_refuses_everything_gets_single_trials_and_harms_nobody(
+        '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 8\n'
+    )
+    run = [sys.executable, "-m", "mountgauge"]
+    ask = [*run, "comeback", "127.201.7.1:9199", "--json", "--wait"]
+    assert subprocess.run([*ask, "0"], capture_output=True, timeout=60).returncode == 1
+    sender = subprocess.Popen([*run, "run", str(file)], stderr=subprocess.DEVNULL)
+    try:
+        done = subprocess.run([*ask, "60"], capture_output=True, text=True, timeout=90)
+        said = json.loads(done.stdout.splitlines()[-1])
+        assert done.returncode == 0 and said["full"]
+        assert said["instances"]["127.201.7.1:9199"]["life"] == 1
+        shown = subprocess.run(
+            [*run, "comeback", "127.201.7.1:9199"], capture_output=True, text=True, timeout=60
+        )
+        assert (
+            shown.returncode == 0
+            and shown.stdout.splitlines()[1].startswith("one")
+            and "full" in shown.stdout
+        )
+    finally:
+        sender.terminate()
+        assert sender.wait(30) == 0
+    again = json.loads((tmp_path / "state" / "identity").read_text())
+    assert again["clean"] and again["life"] == 1
+    bad = subprocess.run([*run, "comeback", "nowhere"], capture_output=True, text=True, timeout=60)
+    assert bad.returncode == 2 and bad.stderr.count("\n") == 1
--- a/tests/comeback/test_pure.py
+++ b/tests/comeback/test_pure.py
@@ -53,7 +53,10 @@
 @settings(derandomize=True, deadline=None)
 @given(
     st.lists(
-        st.tuples(st.booleans(), st.integers(0, 3), st.booleans(), st.booleans(), st.sampled_from(Road), st.booleans()),
+        st.tuples(
+            st.booleans(), st.integers(0, 3), st.booleans(), st.booleans(), st.sampled_from(Road),
+            st.booleans(),
+        ),
         max_size=40,
     )
 )  # fmt: skip
@@ -92,7 +95,8 @@
 @pytest.mark.parametrize(
     ("one", "why"),
     [
-        (fact(expires=104.0), "expired"), (fact(at=108.0), "from-the-future"), (fact(origin="b" * 16), "of-another"),
+        (fact(expires=104.0), "expired"), (fact(at=108.0), "from-the-future"),
+        (fact(origin="b" * 16), "of-another"),
         (fact("list", value=41), "older-than-known"),
     ],
 )  # fmt: skip
