--- a/tests/comeback/test_processes.py
+++ b/tests/comeback/test_processes.py
@@ -96,8 +96,6 @@
 
 
 def test_one_that_refuses_everything_gets_single_trials_and_harms_nobody(played: dict[str, Played]) -> None:
-    played: dict[str, Played],
-) -> None:
     one = played["never-warms"]
     at = [event.at for event in one.events if event.kind == "call" and event.fields["dest"] == 7]
     calls = Counter(int(when // 4) for when in at)
@@ -112,7 +110,8 @@
     file = tmp_path / "one.toml"
     (tmp_path / "state").mkdir()
     file.write_text(
-def test_a_partner_that_refuses_everything_gets_single_trials_and_harms_nobody(
+        'name = "one"\nstate = "state"\n[resp]\nlisten = "127.201.7.1:6399"\n'
+        '[status]\nlisten = "127.201.7.1:9199"\n'
         '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 8\n'
     )
     run = [sys.executable, "-m", "mountgauge"]
