Give a lost life's part of the quotas to its heir at once; exact only once joined

Seen: until 5 s of silence the six old lives count as present and hold their last demand: 14 members share what 8 use; then they are gone and the share is 8 of 14 until each heir is found. At fault: members.tick, which lets a name go on only after gone; gate.fleet_report, which asks for no join; fleet._to_relay, which holds word of a dead life back for its owner to tell, and _words, which speaks of it by chance. Change: who speaks under a name from its predecessor's address has replaced it: that life leaves at once, and word of it goes round. Words of lives that ended go first and are not held back. exact is true only once every present member has said, after each end, that it holds no more of it (unjoined says why not; bounds.joined_after). Phases travel with the gossip, and a folder that was lost shows by the others' word of an earlier life.

--- a/mountgauge/run/comeback.py
+++ b/mountgauge/run/comeback.py
@@ -14,6 +14,7 @@
 from mountgauge.comeback import identity as who
 from mountgauge.comeback.files import Folder
 from mountgauge.comeback.identity import Found
+from mountgauge.comeback.peers import Peers
 from mountgauge.comeback.phases import Change, Phase, Phases, Seen
 from mountgauge.comeback.record import Fact, Judged
 from mountgauge.comeback.roads import roads, routes_of
@@ -33,24 +34,6 @@
 _ORDER = list(Phase)
 
 
-class Peers:
-    """What a fleet's gossip tells of the others; without one there are none."""
-
-    def joined(self) -> bool:
-        return True
-
-    def say(self, phase: int) -> None:
-        """This member's phase travels with its gossip."""
-
-    def back(self) -> int:
-        """Peers that are present and not at full service."""
-        return 0
-
-    def life_of(self, name: str) -> int:
-        """The highest life of a name that peers have heard of; 0: none."""
-        return 0
-
-
 class ComebackPart(Part):
     name = "comeback"
 
@@ -185,7 +168,7 @@
 
     def _peers_life(self) -> None:
         """What peers remember of this name shows a folder that was lost or is an old copy."""
-        known = self.peers.life_of(self.identity.name)
+        known = self.peers.earlier_lives()
         identity, found = who.peers_say(self.identity, self.found, known)
         if identity != self.identity:
             self.identity, self.found = identity, found
--- a/mountgauge/run/operator.py
+++ b/mountgauge/run/operator.py
@@ -182,7 +182,8 @@
         if operator.comeback:
             from mountgauge.run.comeback import ComebackPart
 
-            self.parts.append(ComebackPart(self))
+            peers = self.tenants.peers() if self.tenants is not None else None
+            self.parts.append(ComebackPart(self, peers))
         named = {"amqp" if isinstance(one, AmqpClients) else "resp": one for one, _ in self.listeners}
         fronts = {name: front for name, front in named.items() if isinstance(front, Front)}
         self.parts.append(ClientsPart(Vitals(self.keeper, fronts, watch)))
--- a/mountgauge/tenants/bounds.py
+++ b/mountgauge/tenants/bounds.py
@@ -6,6 +6,8 @@
 
 from mountgauge.tenants.quota import MAKE_UP
 
+WORDS = 7  # lives that a datagram has room to speak of beside the sender's own
+
 
 def rounds(members: int, fanout: int) -> int:
     """Gossip rounds from one datagram to a given peer to the next: each peer in turn, `fanout` a round."""
@@ -25,6 +27,23 @@
     return flush + tries * rounds(members, fanout) * interval + delay
 
 
+def joined_after(
+    interval: float, loss: float, delay: float, members: int, fanout: int, flush: float, gone: float,
+    ended: int, doubt: float = 1e-4,
+) -> float:  # fmt: skip
+    """Seconds after `ended` lives ended in which all members that are there hold the same of them, but for
+    a share `doubt` of all looks: the ends are noticed, each pair speaks of each of them, and what is
+    lacking is told.
+
+    A life whose name goes on at its address is noticed with the heir's first datagram, another after
+    `gone`. A datagram has room to speak of `WORDS` lives, those that ended first.
+    """
+    heard = (1 - loss) * min(1.0, WORDS / max(1, ended))
+    tries = max(1, math.ceil(math.log(doubt) / math.log(1 - heard))) if heard < 1 else 1
+    once = flush + tries * rounds(members, fanout) * interval + delay
+    return gone + 2 * once
+
+
 def count_error(rate: float, age: float) -> float:
     """Messages that a tenant's count may lag behind, at this rate across the fleet."""
     return rate * age
@@ -33,9 +52,9 @@
 def overshoot(quota: float, burst: float, members: int, age: float) -> float:
     """Messages over `quota * time + burst` that a whole fleet may take, however long it goes on.
 
-    Until word of what was taken has gone round, the members may take as if it had not been: at the quota, and
-    with what the burst had left over. After that the counts say so, and it is paid back. Each member may
-    round one message up.
+    Until word of what was taken has gone round, the members may take as if it had not been: at the quota,
+    and with what the burst had left over. After that the counts say so, and it is paid back. Each member
+    may round one message up.
     """
     return members + (quota + burst / MAKE_UP) * age
 
--- a/mountgauge/tenants/counts.py
+++ b/mountgauge/tenants/counts.py
@@ -12,8 +12,8 @@
 who is to agree on that is `fleet`'s matter. `past` is named by the set of lives in it, so two replicas
 whose `past` has one name hold the same numbers.
 
-Bounds: `most` tenants, `MOST_LIVES` lives (20 bytes a tenant each), `MOST_FOLDED` names of folded lives. What
-is over them is turned away and counted in `overfull`.
+Bounds: `most` tenants, `MOST_LIVES` lives (20 bytes a tenant each), `MOST_FOLDED` names of folded lives.
+What is over them is turned away and counted in `overfull`.
 """
 
 from __future__ import annotations
@@ -205,9 +205,7 @@
             del life.ahead[_AHEAD:]
         return new
 
-    def delta(
-        self, life: Life, after: int, room: int, last: int | None = None
-    ) -> tuple[int, list[Entry]]:
+    def delta(self, life: Life, after: int, room: int, last: int | None = None) -> tuple[int, list[Entry]]:
         """What changed in a life after this version, as much as fits into so many bytes, and up to where.
 
         `last`: not beyond this version.
--- a/mountgauge/tenants/fleet.py
+++ b/mountgauge/tenants/fleet.py
@@ -1,9 +1,10 @@
-"""Gossip between members, without sockets or a clock: datagrams in, datagrams out, at times that it is told.
+"""Gossip between members, without sockets or a clock: datagrams in, datagrams out, at times that it is
+told.
 
 Each interval a member sends to a few addresses in turn. Each datagram says how far the sender is with every
 life (`Word`), so whoever knows more answers with what is missing (`Delta`); the sender's own new counts go
-along unasked. Nothing waits for an answer, nothing is lost for good with a datagram, and coming twice or late
-does no harm.
+along unasked. Nothing waits for an answer, nothing is lost for good with a datagram, and coming twice or
+late does no harm.
 
 An address in the file need not be the one that a member binds: which member is behind it shows when that
 member echoes a datagram that was sent there. One that nobody listed is answered where its datagrams come
@@ -38,6 +39,8 @@
 _ALONE_AFTER = 3.0  # s without any word after which they are too
 _CATCH_UP = 3.0  # s that another's past may be ahead before it is asked for
 _FOLD_EVERY = 1.0  # s
+STARTING = "starting"  # why a member's counts are not joined yet: it has not heard the others
+FULL = 4  # the phase of a member at full service
 _DIVERGED = 60.0  # s for which two present members' pasts may differ; then something is wrong
 
 
@@ -78,6 +81,8 @@
     rtt: float = 0.0  # s, smoothed; 0 before the first echo
     newest: tuple[int, int, float] = (0, 0, 0.0)  # its run, its seq, when
     marks: dict[int, Mark] = field(default_factory=dict)  # how far it has come with each life
+    phase: int = 4  # of its comeback, as it last said
+    said: dict[int, float] = field(default_factory=dict)  # when it last spoke of each life
     flight: dict[int, list[Part]] = field(default_factory=dict)  # parts of lives that are under way
     mending: dict[int, tuple[int, float]] = field(default_factory=dict)  # up to where, and when
     odd: dict[int, tuple[Mark, float]] = field(default_factory=dict)  # at one version, but not the same
@@ -106,6 +111,7 @@
         self.doubtful = False  # what was counted under this name may be in part counted once for twice
         self.changed_rest = False  # something of other lives or the past that only replicas hold has changed
         self.leaving = False
+        self.phase = FULL  # of this member's comeback, told to the others
         self._started = now
         self._first_word: float | None = None
         self._seq = 0
@@ -188,6 +194,46 @@
         tries = 3 * rounds(members, self.plan.fanout) * self.plan.interval
         return min(self.plan.timing.gone, self.plan.flush + tries + way)
 
+    def coming_back(self) -> int:
+        """Members that are present and, by their own word, not at full service."""
+        return sum(
+            self.contacts[m.id].phase < FULL
+            for m in self.members.present if m is not self.members.me and m.id in self.contacts
+        )  # fmt: skip
+
+    def earlier_life(self) -> bool:
+        """Whether the others know a life of this member's name that ended, and that this one knows only
+        from them.
+        """
+        me = self.members.me
+        return any(
+            m.name == me.name and m is not me and not Members.here(m) for m in self.members.all.values()
+        )
+
+    def unjoined(self, now: float) -> str:
+        """Why the counts held here may lack something that others hold; empty: they are joined.
+
+        A member that lives tells its own counts, and word of it is as old as `age` says. What a life that
+        ended or is gone had counted is held by whoever heard of it last: it is joined once each member that
+        is present has said, after that end, that it holds no more of it than is held here.
+        """
+        if not self.open or (self.plan.peers and now - self._started < self.settle):
+            return STARTING
+        present = [m for m in self.members.present if m is not self.members.me]
+        for member in self.members.all.values():
+            if member is self.members.me or Members.here(member):
+                continue
+            life = self.counts.lives.get(member.id)
+            since = member.ended if member.ended is not None else member.heard
+            for other in present:
+                contact = self.contacts.get(other.id)
+                if contact is None or contact.said.get(member.id, -1.0) < since:
+                    if life is not None and (contact is None or member.id not in contact.tombs):
+                        return f"{other.name} has not spoken of {member.name}'s ended life"
+                elif life is not None and contact.marks[member.id].version > life.version:
+                    return f"{other.name} holds more of {member.name}'s ended life"
+        return ""
+
     def age(self, member: Member, now: float) -> float:
         """How old this member's word is, s: since its newest beat was heard of, and half a round trip."""
         contact = self.contacts.get(member.id)
@@ -221,6 +267,7 @@
                 echo_ms=echo[2], past=self.counts.past_id,
                 past_lives=self.counts.past_lives, here=len(self.members.present),
                 want=self._want(contact, now), words=words, deltas=deltas or [], tombs=tombs, page=page,
+                phase=self.phase,
             ))  # fmt: skip
             if len(data) <= MOST or not words:
                 break
@@ -234,7 +281,7 @@
         there = contact.life if contact is not None else 0
         others = [m for m in self.members.all.values() if m is not self.members.me]
         self.rng.shuffle(others)
-        others.sort(key=lambda m: m.id != there)
+        others.sort(key=lambda m: (m.id != there, m.ended is None))  # those that ended have no other voice
         found: list[Word] = []
         for member in (self.members.me, *others):
             life = self.counts.lives.get(member.id)
@@ -330,7 +377,7 @@
             return owed
         if self._first_word is None:
             self._first_word = now
-        contact.newest = (told.run, told.seq, now)
+        contact.newest, contact.phase = (told.run, told.seq, now), told.phase
         self._echo(contact, told, now)
         if (told.past, told.past_lives) != contact.past or told.past == self.counts.past_id:
             contact.past, contact.past_since = (told.past, told.past_lives), now
@@ -390,9 +437,24 @@
         if not window.accept(told.seq):
             raise Refused("replayed")
         contact.source = source
-        self.members.hear(told.life, told.name, told.boot, told.beat, told.left, now)
+        if self.members.hear(told.life, told.name, told.boot, told.beat, told.left, now) is not None:
+            self._heir(told, source, now)
         return contact
 
+    def _heir(self, told: Datagram, source: Place, now: float) -> None:
+        """A life that was lost with its folder counts on under another: nobody waits for it to be gone.
+
+        Only one process at a time has an address, so who speaks under the same name from there has replaced
+        it.
+        """
+        for contact in self.contacts.values():
+            member = self.members.all.get(contact.life)
+            if contact.life == told.life or member is None or member.name != told.name:
+                continue
+            if contact.source == source and Members.here(member):
+                self.members.succeeded(contact.life, now)
+                self.changed_rest = True
+
     def _echo(self, contact: Contact, told: Datagram, now: float) -> None:
         if told.echo_run != self.me.run or (asked := self._asked.get(told.echo_seq)) is None:
             return
@@ -418,6 +480,7 @@
         else:
             self.members.hear(word.life, word.name, word.boot, word.beat, word.left, now)
         contact.marks[word.life] = mark = Mark(word.version, word.check)
+        contact.said[word.life] = now
         life = self.counts.lives[word.life]
         if mark.version == life.version and mark.check != life.check:
             if contact.odd.get(life.id, (mark, now))[0] != mark or life.id not in contact.odd:
@@ -428,7 +491,8 @@
 
     def _to_relay(self, life: Life, now: float) -> int:
         """Up to which version others are told of a life: its owner tells them itself what is new."""
-        if life is self.counts.mine or not life.learned:
+        member = self.members.all.get(life.id)
+        if life is self.counts.mine or not life.learned or (member is not None and member.ended is not None):
             return life.version
         ripe = now - max(2 * self.plan.interval, self.settle / 2)
         return max((version for at, version in life.learned if at <= ripe), default=0)
--- a/mountgauge/tenants/gate.py
+++ b/mountgauge/tenants/gate.py
@@ -161,9 +161,7 @@
                 found.append((life, self.fleet.age(member, now)))
         return found
 
-    def bounds(
-        self, place: int, now: float, ages: list[tuple[Life, float]] | None = None
-    ) -> tuple[int, int]:
+    def bounds(self, place: int, now: float, ages: list[tuple[Life, float]] | None = None) -> tuple[int, int]:
         """The fleet's use since it began: what is surely counted, and what it may be by now.
 
         Above the low bound stands what each other member may have taken on since its last word, at the rate
@@ -216,10 +214,12 @@
     def fleet_report(self, now: float) -> dict[str, Any]:
         fleet = self.fleet
         if fleet is None:
-            return {"split": False, "exact": True, "conflicts": [], "members": []}
+            return {"split": False, "exact": True, "unjoined": "", "conflicts": [], "members": []}
+        unjoined = fleet.unjoined(now)
         return {
             "split": fleet.members.split,
-            "exact": not (fleet.doubtful or fleet.diverged),
+            "exact": not (fleet.doubtful or fleet.diverged or unjoined),
+            "unjoined": unjoined,
             "conflicts": sorted(fleet.members.conflicts()),
             "members": [self._member(member, now) for member in fleet.members.all.values()],
             "folded_lives": self.counts.past_lives,
--- a/mountgauge/tenants/members.py
+++ b/mountgauge/tenants/members.py
@@ -1,9 +1,9 @@
 """Who is there: present, suspected, gone, left or superseded, by the heartbeats that gossip carries.
 
-Each member counts its own heartbeats; anyone's word of a higher one makes it present anew, so one that cannot
-be heard directly is still known to live (van Renesse, Minsky, Hayden, "A Gossip-Style Failure Detection
-Service", Middleware 1998). Only how long ago something was heard counts, by the hearer's own clock: nothing
-depends on clocks that agree.
+Each member counts its own heartbeats; anyone's word of a higher one makes it present anew, so one that
+cannot be heard directly is still known to live (van Renesse, Minsky, Hayden, "A Gossip-Style Failure
+Detection Service", Middleware 1998). Only how long ago something was heard counts, by the hearer's own
+clock: nothing depends on clocks that agree.
 
 A member that is gone is still a member: it may be on the other side of a split. It ceases to be one when it
 has said that it leaves, when another life has taken its name, or after `forget` seconds.
@@ -89,6 +89,14 @@
         member.presence = Presence.LEFT if left else Presence.PRESENT
         return member
 
+    def succeeded(self, id: int, now: float) -> None:
+        """Its process has surely ended: another life of its name speaks from its address. It leaves at
+        once, and word of that goes round as if it had said so itself; a beat of its own would take it back.
+        """
+        member = self.all.get(id)
+        if member is not None and member is not self.me and self.here(member):
+            member.left, member.ended, member.presence = True, now, Presence.LEFT
+
     def tick(self, now: float) -> list[tuple[Member, Presence]]:
         """Who changed, and from what, as time went by."""
         changed: list[tuple[Member, Presence]] = []
--- a/mountgauge/tenants/service.py
+++ b/mountgauge/tenants/service.py
@@ -9,9 +9,10 @@
 from pathlib import Path
 from typing import Any
 
+from mountgauge.comeback.peers import Peers
 from mountgauge.log import kv
 from mountgauge.tenants.counts import Counts
-from mountgauge.tenants.fleet import Fleet, Identity, Out, Place
+from mountgauge.tenants.fleet import STARTING, Fleet, Identity, Out, Place
 from mountgauge.tenants.gate import Gate
 from mountgauge.tenants.members import Members
 from mountgauge.tenants.settings import FLUSH, TenantFile
@@ -36,6 +37,23 @@
     return secrets.randbits(62) + 1
 
 
+class FleetPeers(Peers):
+    def __init__(self, fleet: Fleet, loop: asyncio.AbstractEventLoop) -> None:
+        self.fleet, self._loop = fleet, loop
+
+    def joined(self) -> bool:
+        return self.fleet.unjoined(self._loop.time()) != STARTING
+
+    def say(self, phase: int) -> None:
+        self.fleet.phase = phase
+
+    def back(self) -> int:
+        return self.fleet.coming_back()
+
+    def earlier_lives(self) -> int:
+        return int(self.fleet.earlier_life())
+
+
 class Tenants:
     """The core's gate, and all that belongs to it. Times are of the loop's clock, s."""
 
@@ -85,6 +103,10 @@
     def taken(self, tenant: str) -> None:
         self.gate.taken(tenant)
 
+    def peers(self) -> Peers | None:
+        """What the gossip tells of the others, for a member that comes back."""
+        return None if self.fleet is None else FleetPeers(self.fleet, self._loop)
+
     # Running
 
     def start(self) -> None:
@@ -157,8 +179,8 @@
         counts, members = self.gate.counts, self.fleet.members
         here = {m.id for m in members.present}
         self.fleet.changed_rest = not self.store.save_rest(
-            counts, [life for life in counts.lives.values() if life is not counts.mine and life.id not in
-            here]
+            counts,
+            [life for life in counts.lives.values() if life is not counts.mine and life.id not in here],
         )
         self._rest_at = now
 
@@ -224,6 +246,7 @@
         return {
             "tenants": len(self.gate.names), "taken": sum(self.gate.counts.total),
             "refused": sum(self.gate.refused.values()), "split": found["split"], "exact": found["exact"],
+            "unjoined": found["unjoined"],
             "conflicts": found["conflicts"],
             "present": sum(one["presence"] in ("present", "suspected") for one in members),
             "known": sum(one["presence"] not in ("left", "ended") for one in members),
--- a/mountgauge/tenants/store.py
+++ b/mountgauge/tenants/store.py
@@ -1,8 +1,8 @@
 """What a member must still know after its process has ended, in one SQLite file in the state folder.
 
 Its own counts are written before any peer can hear of them, so that a life goes on where the peers left it.
-Lives that have ended or gone, and the past, are written when they change: nobody else may hold them when all
-members start anew. No sync is needed: only the process dies here (`docs/design.md`, The journal). With
+Lives that have ended or gone, and the past, are written when they change: nobody else may hold them when
+all members start anew. No sync is needed: only the process dies here (`docs/design.md`, The journal). With
 SQLite's write-ahead log a transaction counts whole or not at all, whenever the process is killed.
 """
 
@@ -130,6 +130,7 @@
 
     def save(self, life: Life, entries: Iterable[Entry], pending: Mapping[int, int] | None = None) -> bool:
         """Own counts that have changed, and what is counted but belongs to no life yet."""
+
         def write() -> None:
             self._db.executemany(
                 "insert or replace into counted values (?, ?, ?, ?, ?)", [(life.id, *e) for e in entries]
@@ -152,6 +153,7 @@
 
     def save_rest(self, counts: Counts, lives: Iterable[Life]) -> bool:
         """The past, and lives of others that only replicas hold; others that stood here go."""
+
         def write() -> None:
             self._db.execute("delete from counted where life != ?", (counts.mine.id,))
             self._db.execute("delete from lives where life != ?", (counts.mine.id,))
--- a/mountgauge/tenants/wire.py
+++ b/mountgauge/tenants/wire.py
@@ -79,6 +79,7 @@
     deltas: list[Delta] = []
     tombs: list[Tomb] = []
     page: Page | None = None
+    phase: Number = 4  # how far the sender has come back: 4 is full service
 
 
 class Refused(ValueError):
--- a/tests/tenants/test_service.py
+++ b/tests/tenants/test_service.py
@@ -171,9 +171,7 @@
     return [gate.counts.total[place] for place in places] == counts
 
 
-def test_two_senders_count_together_and_say_so(
-    tmp_path: Path, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_two_senders_count_together_and_say_so(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     async def main() -> None:
         one, two = free_ports(2, socket.SOCK_DGRAM)
         for name in ("a", "b"):
@@ -191,6 +189,9 @@
             for gate in gates:
                 places = [gate.names["verdi"], gate.names["rossi"]]
                 await until(partial(_has, gate, places, [20, 1]))
+            member = first.runtime.tenants.fleet  # type: ignore[union-attr]
+            assert member is not None
+            await until(lambda: not member.unjoined(asyncio.get_running_loop().time()))
             page = StatusServer(first.runtime.report, {"/tenants": first.runtime.tenants.report})  # type: ignore[union-attr]
             await page.listen(Address(HOST, 0))
             found = await ask(Address(HOST, page.port), page="/tenants")
@@ -366,7 +367,7 @@
         saved = again.load("n")
         again.close()
         if saved.life is not None and saved.lives:
-            (_, _, version, lines), = saved.lives
+            ((_, _, version, lines),) = saved.lives
             assert (version, sum(line.taken for line in lines)) in states and not again.error
             seen.add(version)
     assert len(seen) >= 5
