--- /dev/null
+++ b/tests/comeback/test_restored.py
@@ -0,0 +1,66 @@
+"""Ten thousand messages of an earlier life for one destination: another is served at once, and clients are
+heard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+from mountgauge.core.journal import Journal, Stored
+from mountgauge.operator_file import load
+from mountgauge.run.operator import OperatorRuntime
+from tests.helper import HOST, HttpHop, RespClient, run, until
+
+COUNT = 10_000
+
+
+def test_ten_thousand_restored_for_one_destination_leave_another_alone(tmp_path: Path) -> None:
+    file, state = tmp_path / "one.toml", tmp_path / "state"
+    state.mkdir()
+    journal = Journal(state, 64_000_000)
+    for number in range(COUNT):
+        expires = time.time() + 300
+        journal.take(Stored(f"r{number}", "note", expires, 7, "k", "platform", b"hello"))
+    journal.close()
+
+    async def main() -> None:
+        slow, other = HttpHop(), HttpHop()
+        await slow.start()
+        await other.start()
+        file.write_text(
+            f'name = "one"\nstate = "state"\n[resp]\nlisten = "{HOST}:0"\n[limits]\ndisk_mb = 64\n'
+            "[rules]\nmax_open = 30000\nslots = 16\n"
+            '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 300\naim = 2\n'
+            f'[[next_hop]]\nid = "slow"\naddr = "{HOST}:{slow.port}"\ndest = 7\nrate = 20\n'
+            f'[[next_hop]]\nid = "other"\naddr = "{HOST}:{other.port}"\ndest = 8\nrate = 500\n'
+        )
+        runtime = OperatorRuntime(load(file))
+        await runtime.start()
+        loop = asyncio.get_running_loop()
+        assert len(runtime.sender.held) == COUNT and runtime.sender.to_restore > COUNT - 1000
+        client = RespClient(None)  # type: ignore[arg-type]
+        listener = runtime.listeners[0][0]
+        client.reader, client.writer = await asyncio.open_connection(HOST, getattr(listener, "port"))  # noqa: B009
+        turns: list[float] = []
+        for number in range(100):
+            began = loop.time()
+            pairs = "c=note,d=8000,k=k1,dest=8"
+            answer = await client.command(b"ENQUEUE", b"0", b"n%d" % number, pairs.encode(), b"hello")
+            turns.append(loop.time() - began)
+            assert answer.startswith(b"+")
+        await until(lambda: len(other.delivered) == 100, 60)
+        assert len(runtime.sender.held) > COUNT / 2, "long before the restored ones are through"
+        await until(lambda: not runtime.sender.to_restore, 60)
+        turns.sort()
+        assert turns[50] < 0.4, "most are taken on in time, whatever waits"
+        for listener, _ in runtime.listeners:
+            listener.stop_listening()
+            listener.close()
+        runtime.sender.stop()
+        runtime.close()
+        await slow.stop()
+        await other.stop()
+
+    run(main(), 120)
