Rest after a watch that is answered at once with nothing newer: 3,600 list calls a second

Checked in the events: each watch names the older version, is answered at once with the same, and is asked again in the same turn. At fault: transport_map.py, _run, which goes on at once after any answer. Change: a watch that is answered within 50 ms with a version that is not newer than the one asked with rests 0.15 s (the watch still goes on), then twice as long each time up to 2 s. The test fails without the change.

--- a/mountgauge/transport_map.py
+++ b/mountgauge/transport_map.py
@@ -20,6 +20,8 @@
 _LIST_LIMIT = 3.0  # s for a call that does not wait
 _MOVING = 4.0  # s after a move in which the list of the new address must hold: no back-off meanwhile
 _MOVE_LIMIT, _MOVE_PAUSE = 1.2, 0.1  # s for a call then, and between two
+_AT_ONCE = 0.05  # s: a watch that is answered sooner did not wait for news
+_SAME, _SAME_MOST = 0.15, 2.0  # s of rest after one that brought nothing newer at once, and at most
 
 
 class MapOwner(Protocol):
@@ -40,6 +42,7 @@
         self._task: asyncio.Task[None] | None = None
         self._whole = False
         self._moved_at = -math.inf
+        self._same = 0  # watches in a row that were answered at once with nothing newer
 
     def watch(self, on: bool) -> None:
         running = self._task is not None and not self._task.done()
@@ -81,6 +84,7 @@
             moving = asyncio.get_running_loop().time() - self._moved_at < _MOVING
             limit = min(limit, _MOVE_LIMIT) if moving and self._whole else limit
             data = request("GET", path, f"{self._address.host}:{self._address.port}", {})
+            index, asked_at = self._owner.version, asyncio.get_running_loop().time()
             try:
                 message = await self._client.exchange(data, limit)
                 if message.status != 200:
@@ -99,3 +103,11 @@
             if update.hops or update.full:
                 log.info("map", extra=kv(version=update.version, full=update.full, changed=len(update.hops)))
             self._owner.list_changed(update)
+            at_once = "index=" in path and asyncio.get_running_loop().time() - asked_at < _AT_ONCE
+            if at_once and update.version <= index:
+                # It contradicts itself, or has gone back to an older list: asked again at once, and by all,
+                # it would be kept busy with that alone. After the first rest the watch still goes on.
+                await asyncio.sleep(min(_SAME * 2**self._same, _SAME_MOST))
+                self._same = min(self._same + 1, 8)
+            else:
+                self._same = 0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -87,6 +87,29 @@
     run(main())
 
 
+def test_a_discovery_that_goes_back_to_an_older_list_is_not_asked_without_rest() -> None:
+    """It answers each watch at once with a list that is older than asked for: thousands of calls a second."""
+
+    async def main() -> None:
+        times: list[float] = []
+
+        async def reply(message: Message) -> bytes | None:
+            times.append(asyncio.get_running_loop().time())
+            return listing(4, True)
+
+        server, owner = HttpServer(reply), Owner(5)
+        await server.start()
+        watched = TransportMap(owner, Address(HOST, server.port), NAMES, 10.0)
+        watched.watch(True)
+        await until(lambda: len(times) >= 5)
+        watched.close()
+        await server.stop()
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        assert all(gap >= 0.14 for gap in gaps) and gaps[3] >= 0.9, "each rest is longer than the one before"
+
+    run(main())
+
+
 def test_one_unreadable_entry_does_not_fail_the_list() -> None:
     line = {"id": "s-1", "addr": "127.0.0.1:80", "zone": "b", "kind": "m2", "cell": 3, "state": "active"}
     bad: list[Any] = [7, {}, {**line, "id": "s-2", "addr": "nowhere"}, {**line, "id": "s-3", "state": "odd"},
