Play the rigs while the pure tests run; two lives on one folder leave each other's word alone

Change: conftest.py begins the rigs' processes once it is known which tests are wanted, the pure tests come first, the tests that judge rigs last. A folder stands as long as it names this identity with this life or a later one, and an orderly end is written by the latest life only. benchmarks.comeback counts numbers that call themselves exact too soon and the peak of list calls.

--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -21,11 +21,14 @@
 from typing import Any
 
 from benchmarks.comeback_model import scene
+from benchmarks.fleet_model import FLUSH, Weather, World
 from mountgauge.lab.cli import began
 from mountgauge.lab.rig.events import Event, of, read
 from mountgauge.lab.rig.figures import Figures, summary
 from mountgauge.lab.rig.oracle import judge
 from mountgauge.lab.rig.schedule import load
+from mountgauge.tenants.bounds import joined_after, word_age
+from mountgauge.tenants.quota import Quota
 
 SCENES = Path(__file__).parent.parent / "experiments" / "comeback"
 QUICK = ("ten-of-twelve", "ten-of-twelve-falls-over")
@@ -33,6 +36,7 @@
     *QUICK, "ten-of-twelve-lost", "again-while-ramping", "paused", "folders", "crash-loop", "discovery",
     "split", "reconnect",
 )  # fmt: skip
+DISCOVERY_COST_S = 0.4  # of its time for a list call, in the scene `discovery`
 _SLACK = 0.3  # s that a busy machine may add to what the oracle sees
 AIMS = {"served_share_5s": 0.8, "refused_share": 0.1, "full_service_over_limit": 1.3}
 NONE = ("endless", "lost", "doubled", "rules_broken", "stale_sends", "exact_too_soon")
@@ -88,6 +92,33 @@
     return found
 
 
+def list_peak(events: Sequence[Event], begin: float, end: float, capacity: float) -> float:
+    """The busiest second's list calls over what discovery works through in a second."""
+    at = [event.at for event in of(events, "list-call") if begin <= event.at < end]
+    return round(max((Figures.count(at, one, one + 1) for one in at), default=0) / capacity, 2)
+
+
+def exact_too_soon(seed: int) -> int:
+    """Looks at members that call a number exact while others hold more of it: six of eight lost, in virtual
+    time.
+    """
+    world = World(
+        {"a": Quota(20, 20), "b": None}, seed, Weather(loss=0.3, delay=0.5, jitter=0.2, doubled=0.1)
+    )
+    world.add(*(f"n{place}" for place in range(8)))
+    world.load({"a": 60, "b": 40}, 35)
+    world.until(15)
+    for place in range(2, 8):
+        world.restart(f"n{place}", keep=False)
+    world.until(35 + word_age(0.25, 0.3, 0.7, 8, 4, FLUSH))
+    looks: list[tuple[int, bool]] = []
+    end = world.time + joined_after(0.25, 0.3, 0.7, 8, 4, FLUSH, 5.0, 6)
+    while world.time < end:
+        world.until(world.time + 0.25)
+        looks += [(node.used("b"), not node.fleet.unjoined(node.now)) for node in world.up]
+    return sum(exact and count != looks[-1][0] for count, exact in looks)
+
+
 def total(runs: Sequence[Mapping[str, Any]]) -> dict[str, Any]:
     """The worst of the runs for what has an aim, the sum for what is counted."""
     worst = {"served_share_5s": min, "refused_share": max, "peak_over_bearing_100ms": max}
@@ -139,6 +170,11 @@
                         for key in ("lost", "doubled", "rules_broken", "stale_sends"):
                             where = key if ramp == "with" else f"{key}_without"
                             found[where] = found.get(where, 0) + figures[key]
+            if name == "discovery":
+                runs_of = [Path(folder) / f"{name}-{seed}-with" / "events.jsonl" for seed in seeds]
+                found["list_calls_peak_over_capacity"] = max(
+                    list_peak(read(one), 8.2, 13.2, 1 / DISCOVERY_COST_S) for one in runs_of
+                )
         if not args.quick:
             rig = _start("tenants", Path(folder) / "tenants", 11, "with", 0)
             rig.wait(300)
@@ -148,6 +184,7 @@
             had = found.get(key + end, 0)
             found[key + end] = value + had if isinstance(value, int) and had else value
     found |= virtual((1,) if args.quick else (1, 2, 3))
+    found["exact_too_soon"] = sum(map(exact_too_soon, (1,) if args.quick else (1, 2, 3)))
     found["missed"] = missed(found)
     line = json.dumps(found)
     if args.json is not None:
--- a/mountgauge/comeback/files.py
+++ b/mountgauge/comeback/files.py
@@ -32,11 +32,20 @@
         _replace(self.identity, who.encode(identity))
 
     def stands(self, identity: Identity) -> bool:
-        """Whether the folder still says who this is."""
+        """Whether the folder still says who this is: this life, or a later one that came beside it."""
+        return (found := self._said()) is not None and found.id == identity.id and found.life >= identity.life
+
+    def _said(self) -> Identity | None:
         try:
-            return _read(self.identity) == who.encode(identity)
+            content = _read(self.identity)
         except OSError:
-            return False
+            return None
+        return None if content is None else who.decode(content)
+
+    def ended(self, identity: Identity) -> None:
+        """This life ends as it was asked to; a later one that goes on beside it is left alone."""
+        if (found := self._said()) is None or found.life <= identity.life:
+            self.say(identity._replace(clean=True))
 
     def remembered(self, now: float, origin: str, known_version: float) -> Judged:
         return record.judged(_read(self.record) or b"", now, origin, known_version)
--- a/mountgauge/run/comeback.py
+++ b/mountgauge/run/comeback.py
@@ -239,8 +239,10 @@
             self._timer.cancel()
             self._timer = None
             if not self.runtime.taking:  # asked to end
-                self.identity = self.identity._replace(clean=True)
-                self._say()
+                try:
+                    self.folder.ended(self.identity)
+                except OSError as error:
+                    log.error("folder-not-written", extra=kv(error=error))
 
     # What others are told
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+"""The order of the tests: pure ones while the rigs play, those with sockets and clocks after that, the
+rigs' last.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.rigs import RIGS
+
+_JUDGE = {"tests/comeback/test_processes.py": "scenes", "tests/lab/test_rig.py": "senders"}
+_PURE = (
+    "tests/tenants/test_fleet", "tests/tenants/test_model", "tests/tenants/test_co",
+    "tests/tenants/test_quota", "tests/tenants/test_wire", "tests/test_rules", "tests/test_fleet_growth",
+    "tests/test_wire", "tests/lab/test_pure", "tests/comeback/test_pure", "tests/comeback/test_module",
+    "tests/test_http1", "tests/test_amqp_codec", "tests/holding/test_states", "tests/holding/test_decisions",
+    "tests/test_journal",
+)  # fmt: skip
+
+
+def _rank(item: pytest.Item) -> int:
+    if any(item.nodeid.startswith(file) for file in _JUDGE):
+        return 2
+    return 0 if item.nodeid.startswith(_PURE) else 1
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    items.sort(key=_rank)
+
+
+def pytest_collection_finish(session: pytest.Session) -> None:
+    if session.config.option.collectonly:
+        return
+    wanted = {
+        batch for item in session.items for file, batch in _JUDGE.items() if item.nodeid.startswith(file)
+    }
+    RIGS.begin(sorted(wanted))
--- /dev/null
+++ b/tests/rigs.py
@@ -0,0 +1,90 @@
+"""Rigs that play while other tests run: real senders take their time, which the pure tests use meanwhile.
+
+`conftest.py` begins them once it is known which tests are wanted; the tests that judge them come last and
+wait.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+from mountgauge.lab.rig.mutants import MUTANTS
+
+EXPERIMENTS = Path(__file__).parent.parent / "experiments"
+EVERY_RULE = EXPERIMENTS / "rig" / "every-rule.toml"
+SCENES = {"folders": 9.0, "paused": 9.0, "never-warms": 16.0, "falls-over": 20.0}  # s that each is played
+SENDERS = ("unchanged", *MUTANTS)
+_LIMIT = 240.0  # s that a rig may take, however slow the machine
+
+_CODE = (
+    "import sys; from pathlib import Path; from mountgauge.lab.rig import play, schedule\n"
+    "one = schedule.load(Path(sys.argv[1])).with_(seconds=float(sys.argv[3]))\n"
+    "play.play(one, Path(sys.argv[2]), sys.argv[4:] or None)"
+)
+
+
+class Rigs:
+    """Batches of rigs, one batch after another, each rig in a process of its own."""
+
+    def __init__(self) -> None:
+        self._folder: tempfile.TemporaryDirectory[str] | None = None
+        self._thread: threading.Thread | None = None
+        self._done: dict[str, threading.Event] = {}
+        self.failed: list[str] = []
+
+    def begin(self, batches: Sequence[str]) -> None:
+        """Play these batches (`scenes`, `senders`) from now on; those that have begun go on."""
+        wanted = [batch for batch in batches if batch not in self._done]
+        if not wanted:
+            return
+        self._folder = self._folder or tempfile.TemporaryDirectory(prefix="rigs-")
+        for batch in wanted:
+            self._done[batch] = threading.Event()
+        before = self._thread
+        self._thread = threading.Thread(target=self._play, args=(wanted, before), daemon=True)
+        self._thread.start()
+
+    def _play(self, batches: Sequence[str], before: threading.Thread | None) -> None:
+        if before is not None:
+            before.join()
+        for batch in batches:
+            rigs = {}
+            if batch == "scenes":
+                for name, seconds in SCENES.items():
+                    file = EXPERIMENTS / "comeback" / f"{name}.toml"
+                    rigs[name] = self._rig(file, name, seconds)
+            else:
+                for name in SENDERS:
+                    mutant = [] if name == "unchanged" else ["-m", "mountgauge.lab.rig.mutants", name]
+                    rigs[name] = self._rig(EVERY_RULE, name, 7.0, *mutant)
+            for name, rig in rigs.items():
+                try:
+                    if rig.wait(_LIMIT):
+                        self.failed.append(name)
+                except subprocess.TimeoutExpired:
+                    rig.kill()
+                    self.failed.append(name)
+            self._done[batch].set()
+
+    def _rig(self, file: Path, name: str, seconds: float, *mutant: str) -> subprocess.Popen[bytes]:
+        words = [str(file), str(self.folder / name), str(seconds), *mutant]
+        return subprocess.Popen([sys.executable, "-c", _CODE, *words])
+
+    @property
+    def folder(self) -> Path:
+        assert self._folder is not None
+        return Path(self._folder.name)
+
+    def wait(self, batch: str) -> Path:
+        """The folder in which each rig of the batch has left its own."""
+        self.begin([batch])
+        assert self._done[batch].wait(3 * _LIMIT) and self.failed == []
+        return self.folder
+
+
+RIGS = Rigs()
