Give the new lock back where an emptied folder cannot be written anew

Seen by reading write_anew beside the compaction, which share their lines: where the spare file could not be opened (disk full, folder gone) the new lock stayed open in this process; a second later flock found it held, took it for another process's, and the sender would have ended itself with exit 3. Measured: the test lets three writes fail before one succeeds; without the change the second returns False.

--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -140,19 +140,28 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         if (lock := _lock(self.folder, self.slot)) is None:
             return False
-        content = self._content()
+        try:
+            self._rewrite(self._content())
+        except OSError:
+            os.close(lock)  # a lock that is kept here would look like another process's the next time
+            raise
+        os.close(self._lock)
+        self._lock = lock
+        return True
+
+    def _rewrite(self, content: bytes) -> None:
+        """This content is the journal from now on; OSError where it could not be written, and nothing
+        changed.
+        """
         file = os.open(self._spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
             self._write_all(file, content)
             os.replace(self._spare, self.path)
         except OSError:
             os.close(file)
-            os.close(lock)
             raise
         os.close(self._file)
-        os.close(self._lock)
-        self._file, self._lock, self._size = file, lock, len(content)
-        return True
+        self._file, self._size = file, len(content)
 
     def _content(self) -> bytes:
         records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
@@ -290,18 +299,10 @@
         if len(content) >= self._size or both > self._most:
             return
         try:
-            file = os.open(self._spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-            try:
-                self._write_all(file, content)
-                os.replace(self._spare, self.path)
-            except OSError:
-                os.close(file)
-                raise
+            self._rewrite(content)
         except OSError:  # the old file still holds everything
             self._spare.unlink(missing_ok=True)
             return
-        os.close(self._file)
-        self._file, self._size = file, len(content)
         self._compacted = self._size
 
     # Writing
--- a/tests/comeback/test_pure.py
+++ b/tests/comeback/test_pure.py
@@ -151,13 +151,24 @@
     assert not folder.stands(two)
 
 
-def test_an_emptied_folder_is_written_anew_and_a_taken_one_is_not(tmp_path: Path) -> None:
+def _full_disk(file: int, content: bytes) -> None:
+    raise OSError("no space left")
+
+
+def test_an_emptied_folder_is_written_anew_and_a_taken_one_is_not(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     journal = Journal(tmp_path, 1_000_000)
     journal.take(Stored("m1", "note", 1e12, 7, "k", "platform", b"hello"))
     assert journal.standing()
     for one in tmp_path.iterdir():
         one.unlink()
     assert not journal.standing()
+    with monkeypatch.context() as full:
+        full.setattr(Journal, "_write_all", staticmethod(_full_disk))
+        for _ in range(3):  # each second, as long as it lasts: the lock must be free again each time
+            with pytest.raises(OSError):
+                journal.write_anew()
     assert journal.write_anew() and journal.standing()
     journal.take(Stored("m2", "note", 1e12, 7, "k", "platform", b"hello"))
     journal.close()
