--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -1,5 +1,4 @@
-"""The lasting log: what was taken on, attempted and ended, in one checksummed file that is only appended
-to.
+"""The lasting log: what was taken on, attempted and ended, in one checksummed file that is only appended to.
 
 A record is its payload's length and CRC-32, then the payload: one letter, one JSON value and, behind a
 line feed, the message's body. Data outlasts the process once `write()` has returned, so nothing is synced.
@@ -92,6 +91,14 @@
     return lock
 
 
+def _same(path: Path, file: int) -> bool:
+    """Whether this open file is what the path names."""
+    try:
+        return os.path.samestat(os.stat(path), os.fstat(file))
+    except FileNotFoundError:
+        return False
+
+
 def _blocks(size: int) -> int:
     return -(-size // _BLOCK) * _BLOCK
 
@@ -126,11 +133,7 @@
 
     def standing(self) -> bool:
         """Whether the folder still holds this journal and its lock, and not others in their place."""
-        try:
-            pairs = ((self.path, self._file), (_lock_path(self.folder, self.slot), self._lock))
-            return all(os.path.samestat(os.stat(path), os.fstat(fd)) for path, fd in pairs)
-        except OSError:
-            return False
+        return _same(self.path, self._file) and _same(_lock_path(self.folder, self.slot), self._lock)
 
     def write_anew(self) -> bool:
         """The folder was emptied or replaced: all that is live goes into it again, under a new lock.
@@ -138,6 +141,9 @@
         False where another process holds the slot now: what the folder has is that one's.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
+        if _same(_lock_path(self.folder, self.slot), self._lock):  # the journal alone has gone
+            self._rewrite(self._content())
+            return True
         if (lock := _lock(self.folder, self.slot)) is None:
             return False
         try:
--- a/mountgauge/holding/line.py
+++ b/mountgauge/holding/line.py
@@ -1,5 +1,4 @@
-"""A connection's transport: a descriptor in the keeper's epoll, and a buffer only while something is
-unsent.
+"""A connection's transport: a descriptor in the keeper's epoll, and a buffer only while something is unsent.
 
 asyncio's own costs some 3 KiB for each connection: a socket object, a deque, a handle and a selector key.
 This one has no more than eight slots. It keeps asyncio's contract: `connection_lost` comes once, from the
--- a/tests/comeback/test_pure.py
+++ b/tests/comeback/test_pure.py
@@ -161,6 +161,8 @@
     journal = Journal(tmp_path, 1_000_000)
     journal.take(Stored("m1", "note", 1e12, 7, "k", "platform", b"hello"))
     assert journal.standing()
+    journal.path.unlink()  # alone: the lock is still this process's own, and not another's
+    assert not journal.standing() and journal.write_anew() and journal.standing()
     for one in tmp_path.iterdir():
         one.unlink()
     assert not journal.standing()
