Judge copies of folders and what is taken under the blow as lost with the folder

Seen in its events: (1) an at_most_once message of m06, kept, was called by m06 at 3.798 s and by m05 at 4.213 s; m05 had been given a copy of m06's folder. The oracle excused only repeats by a member that lost its folder after the first call. (2) A message taken at 3.001 s by m04 had no end; the fault's record stands at 3.0007 s, the process died at 3.007 s and its folder was replaced after that.

Change: a loss is recorded at the process's end as well as at the blow; calls by a member that has a message from another one's folder are counted as repeats after a loss.

--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -204,6 +204,13 @@
 def test_the_oracle_excuses_what_a_rule_excuses() -> None:
     killed = at(1.0, "fault", do="kill", who=["m01"], folder=["lost"])
     assert rules(*message(), killed, at(1.0, "gone", code=-9)) == [], "its folder was lost with it"
+    struck = at(-0.1, "fault", do="kill", who=["m01"], folder=["foreign"])
+    assert rules(*message(), struck, at(0.1, "gone", code=-9)) == [], "taken between the blow and its end"
+    assert rules(*message(), struck, at(-0.05, "gone", code=-9), at(-0.04, "ready", life=2)) == ["final"]
+    copied = at(0.2, "fault", do="kill", who=["m02"], folder=["foreign"])
+    twice = [*call(1, 0.1, 500), *call(2, 1.0, member="m02")]
+    assert rules(*message(grade="once"), copied, *twice) == [], "its folder was a copy of the first one's"
+    assert rules(*message(grade="once"), *twice) == ["repeat"]
     kept = at(1.0, "fault", do="kill", who=["m01"], folder=["kept"])
     again = [at(1.0, "gone", code=-9), at(4.0, "start", life=2), at(4.5, "ready", life=2)]
     assert rules(*message(), kept, *again, *call(1, 5.5)) == [], "1.5 s from ready on are its own"
