Tell an old copy of the folder by what peers know of the tenants' counts

Cause: `FleetPeers.earlier_lives` only looks for other lives of the name; an old copy comes back under the same life (tenants/service.py). Checked: where all are killed at once nobody remembers, since a store has only the counts of those that are gone; joining by the name in the counts was tried and found nothing more, so it was taken back.

Change: the fleet keeps that it was shown to be outdated, the comeback part corrects its life by it.

--- a/mountgauge/comeback/peers.py
+++ b/mountgauge/comeback/peers.py
@@ -17,6 +17,10 @@
         """Peers that are present and not at full service."""
         return 0
 
+    def outdated(self) -> bool:
+        """Whether peers have shown that the folder is older than what this name did last."""
+        return False
+
     def earlier_lives(self) -> int:
         """The least life that peers show this name to have had before; 0: they show none."""
         return 0
--- a/mountgauge/run/comeback.py
+++ b/mountgauge/run/comeback.py
@@ -168,7 +168,8 @@
 
     def _peers_life(self) -> None:
         """What peers remember of this name shows a folder that was lost or is an old copy."""
-        known = self.peers.earlier_lives()
+        old = self.found is Found.KEPT and self.peers.outdated()
+        known = self.identity.life if old else self.peers.earlier_lives()
         identity, found = who.peers_say(self.identity, self.found, known)
         if identity != self.identity:
             self.identity, self.found = identity, found
--- a/mountgauge/tenants/fleet.py
+++ b/mountgauge/tenants/fleet.py
@@ -105,6 +105,7 @@
         self.sent = self.sent_bytes = self.received = self.received_bytes = 0
         # Whether own counts may be published: a life from a file must first hear what others know of it.
         self.open = me.boot <= 1
+        self.outdated = False  # others knew of more than the file had: an old copy
         self.anew = False  # when it is reborn, it also lets go of all that it knew
         self.reborn = ""
         self.diverged = False  # two pasts that neither contains the other: counts are not exact
@@ -383,7 +384,7 @@
             contact.past, contact.past_since = (told.past, told.past_lives), now
         for delta in told.deltas:
             if delta.life == self.me.life and delta.upto > self.counts.mine.version:
-                self._renew("peers know of more than the file has")
+                self._renew("peers know of more than the file has", outdated=True)
             entries = [Entry(*line) for line in delta.lines]
             self.counts.join(delta.life, delta.name, delta.after, delta.upto, entries)
             known = self.counts.lives.get(delta.life)
@@ -471,7 +472,7 @@
         """Take in what the contact says of a member. Whether it lacks some of that member's counts."""
         if word.life == self.me.life:
             if word.version > self.counts.mine.version or word.boot > self.me.boot:
-                self._renew("peers know of more than the file has")
+                self._renew("peers know of more than the file has", outdated=True)
         elif word.life in self.counts.folded:
             contact.tombs.add(word.life)
             return False
@@ -497,9 +498,9 @@
         ripe = now - max(2 * self.plan.interval, self.settle / 2)
         return max((version for at, version in life.learned if at <= ripe), default=0)
 
-    def _renew(self, why: str) -> None:
+    def _renew(self, why: str, outdated: bool = False) -> None:
         if not self.reborn:
-            self.reborn = why
+            self.reborn, self.outdated = why, self.outdated or outdated
             self.doubtful |= self.open
 
     def _retired(self, exact: bool) -> None:
--- a/mountgauge/tenants/service.py
+++ b/mountgauge/tenants/service.py
@@ -50,6 +50,9 @@
     def back(self) -> int:
         return self.fleet.coming_back()
 
+    def outdated(self) -> bool:
+        return self.fleet.outdated
+
     def earlier_lives(self) -> int:
         return int(self.fleet.earlier_life())
 
