--- /dev/null
+++ b/tests/comeback/test_fleets.py
@@ -0,0 +1,110 @@
+"""Whole fleets of real senders that come back from what the issue calls hard. Judged by counts and orders."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from tests.rigs import FLEETS, Played
+
+
+@pytest.fixture(scope="module")
+def played() -> dict[str, Played]:
+    return Played.all("fleets")
+
+
+def test_no_rule_is_broken_by_any_fleet(played: dict[str, Played]) -> None:
+    assert set(played) == set(FLEETS)
+    for name, one in played.items():
+        assert [str(broken) for broken in one.judged.broken] == [], name
+        assert one.judged.delivered > 200, name
+
+
+def test_a_fleet_that_lost_everything_pushes_a_cold_partner_over_no_more(played: dict[str, Played]) -> None:
+    """Without the ramp the partner falls five to eight times and refuses most of what comes."""
+    one = played["all-lost"]
+    assert sum(event.kind == "fell" for event in one.events) <= 1
+    answers = one.statuses(0.5, 10)
+    assert answers[503] <= 0.2 * answers.total() and answers[200] > 250
+    assert {line["found"] for line in one.logs("life") if line["at"] > 0} == {"first"}
+    assert {line["member"] for line in one.logs("full-service") if line["at"] > 0} == set(one.schedule.names)
+
+
+def test_thirds_of_folders_are_told_apart_by_what_peers_remember(played: dict[str, Played]) -> None:
+    one = played["thirds"]
+    names = one.schedule.names[:9]
+    second = {line["member"]: line["found"] for line in one.logs("life") if line["at"] > 0}
+    assert [second[name] for name in names] == ["first", "kept", "kept"] * 3, "the folder alone tells no more"
+    corrected = {line["member"]: line["found"] for line in one.logs("life-corrected") if line["at"] > 0}
+    assert corrected == {**dict.fromkeys(names[0::3], "lost"), **dict.fromkeys(names[1::3], "old")}
+    out = sum(event.kind == "broken" for event in one.events)
+    assert one.judged.repeats_after_loss <= out, "no more than was out may run again"
+
+
+def test_discovery_that_comes_back_overbooked_is_asked_in_turns(played: dict[str, Played]) -> None:
+    """3,676 list calls came in the worst second before a watch rested."""
+    one = played["discovery"]
+    seconds = Counter(int(event.at) for event in one.events if event.kind == "list-call" and event.at > 0)
+    assert max(seconds.values()) <= 5 * one.schedule.fleet.members, seconds
+    assert one.judged.delivered >= 0.99 * one.judged.taken
+
+
+def test_halves_of_a_split_fleet_leave_each_other_their_share_of_the_ramp(played: dict[str, Played]) -> None:
+    one = played["split"]
+    assert one.logs("tenants-split") or any(event.kind == "fault" for event in one.events)
+    assert sum(event.kind == "fell" for event in one.events) <= 1
+    answers = one.statuses(0.5, 6)
+    assert answers[503] <= 0.2 * answers.total()
+
+
+def test_a_crash_loop_of_three_leaves_the_others_at_full_service(played: dict[str, Played]) -> None:
+    one = played["crash-loop"]
+    left = [(line["member"], line["to"]) for line in one.logs("phase") if line["at"] > 0]
+    assert {member for member, _ in left} == {"m01", "m02", "m03"}, "nobody else left `full`"
+    rest = [e for e in one.events if e.kind == "taken" and e.at > 0 and e.fields["member"] > "m03"]
+    offered = [e for e in one.events if e.kind == "offer" and 0 < e.at < 8 and e.fields["member"] > "m03"]
+    assert len(rest) >= 0.95 * len(offered)
+
+
+def test_clients_that_reconnect_at_once_are_let_in_and_nothing_is_lost(played: dict[str, Played]) -> None:
+    one = played["reconnect"]
+    assert one.judged.taken == one.judged.delivered
+    assert {line["member"] for line in one.logs("full-service") if line["at"] > 0} == set(one.schedule.names)
+
+
+def test_a_process_whose_folder_another_one_took_sends_nothing_more_and_ends(tmp_path: Path) -> None:
+    """Two processes; the second one's folder is put in place of the first one's, and it still holds it."""
+    logs, senders = [], []
+    for place, name in enumerate(("one", "two"), 1):
+        file, log = tmp_path / f"{name}.toml", tmp_path / f"{name}.log"
+        file.write_text(
+            f'name = "{name}"\nstate = "{name}"\n[resp]\nlisten = "127.201.8.{place}:6399"\n'
+            '[[class]]\nname = "note"\nsemantics = "idempotent"\ndeadline = 8\n'
+        )
+        with log.open("wb") as out:
+            run = [sys.executable, "-m", "mountgauge", "run", str(file)]
+            senders.append(subprocess.Popen(run, stderr=out))
+        logs.append(log)
+    first, second = senders
+    try:
+        for log in logs:
+            ends = time.monotonic() + 60
+            while "event=ready" not in log.read_text() and time.monotonic() < ends:
+                time.sleep(0.05)
+        second.send_signal(signal.SIGSTOP)  # else it would give the folder that was moved away from it back
+        (tmp_path / "one").rename(tmp_path / "away")
+        (tmp_path / "two").rename(tmp_path / "one")
+        assert first.wait(60) == 3
+        text = logs[0].read_text()
+        assert "event=folder-taken" in text and "event=folder-emptied" not in text
+    finally:
+        first.kill()
+        second.send_signal(signal.SIGCONT)
+        second.terminate()
+        assert second.wait(30) == 0
--- a/tests/comeback/test_processes.py
+++ b/tests/comeback/test_processes.py
@@ -7,36 +7,16 @@
 import sys
 from collections import Counter
 from pathlib import Path
-from typing import Any
 
 import pytest
 
-from mountgauge.lab.rig.events import Event, read
-from mountgauge.lab.rig.oracle import Judged, judge
-from mountgauge.lab.rig.schedule import Schedule, load
-from tests.rigs import EXPERIMENTS, RIGS, SCENES
-
-_SLACK = 0.6  # s that a busy machine may add: the schedules' pauses, waits and drains are far longer
-
-
-class Played:
-    def __init__(self, schedule: Schedule, folder: Path) -> None:
-        self.schedule = schedule
-        self.events: list[Event] = read(folder / "events.jsonl")
-        self.judged: Judged = judge(schedule, self.events, _SLACK)
-
-    def logs(self, event: str) -> list[dict[str, Any]]:
-        return [
-            {"member": one.fields["member"], "at": one.at, **one.fields["pairs"]}
-            for one in self.events if one.kind == "log" and one.fields["event"] == event
-        ]  # fmt: skip
+from tests.rigs import Played
 
 
 @pytest.fixture(scope="module")
 def played() -> dict[str, Played]:
     """The scenes, each on a rig in a process of its own, played while the pure tests ran."""
-    root = RIGS.wait("scenes")
-    return {name: Played(load(EXPERIMENTS / "comeback" / f"{name}.toml"), root / name) for name in SCENES}
+    return Played.all("scenes")
 
 
 def test_no_rule_is_broken_in_any_scene(played: dict[str, Played]) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,11 @@
 
 from tests.rigs import RIGS
 
-_JUDGE = {"tests/comeback/test_processes.py": "scenes", "tests/lab/test_rig.py": "senders"}
+_JUDGE = {
+    "tests/comeback/test_processes.py": "scenes",
+    "tests/lab/test_rig.py": "senders",
+    "tests/comeback/test_fleets.py": "fleets",
+}
 _PURE = (
     "tests/tenants/test_fleet", "tests/tenants/test_model", "tests/tenants/test_co",
     "tests/tenants/test_quota", "tests/tenants/test_wire", "tests/test_rules", "tests/test_fleet_growth",
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -204,6 +204,9 @@
 def test_the_oracle_excuses_what_a_rule_excuses() -> None:
     killed = at(1.0, "fault", do="kill", who=["m01"], folder=["lost"])
     assert rules(*message(), killed, at(1.0, "gone", code=-9)) == [], "its folder was lost with it"
+    told_twice = [at(n, "notice", id="a", status=f"{n}") for n in (1, 3)]
+    put_back = at(2.0, "fault", do="kill", who=["m01"], folder=["old"])
+    assert rules(*message(), *told_twice, put_back) == [], "its old folder knew of no end"
     struck = at(-0.1, "fault", do="kill", who=["m01"], folder=["foreign"])
     assert rules(*message(), struck, at(0.1, "gone", code=-9)) == [], "taken between the blow and its end"
     assert rules(*message(), struck, at(-0.05, "gone", code=-9), at(-0.04, "ready", life=2)) == ["final"]
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -10,14 +10,23 @@
 import sys
 import tempfile
 import threading
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
+from mountgauge.lab.rig.events import Event, read
 from mountgauge.lab.rig.mutants import MUTANTS
+from mountgauge.lab.rig.oracle import Judged, judge
+from mountgauge.lab.rig.schedule import Schedule, load
 
 EXPERIMENTS = Path(__file__).parent.parent / "experiments"
 EVERY_RULE = EXPERIMENTS / "rig" / "every-rule.toml"
 SCENES = {"folders": 9.0, "paused": 9.0, "never-warms": 16.0, "falls-over": 20.0}  # s that each is played
+FLEETS = {
+    "all-lost": 10.0, "thirds": 10.0, "discovery": 18.0, "split": 12.0, "crash-loop": 9.0, "reconnect": 8.0,
+}  # fmt: skip
+_PLAYED = {"scenes": SCENES, "fleets": FLEETS}
 SENDERS = ("unchanged", *MUTANTS)
 _LIMIT = 240.0  # s that a rig may take, however slow the machine
 
@@ -38,7 +47,7 @@
         self.failed: list[str] = []
 
     def begin(self, batches: Sequence[str]) -> None:
-        """Play these batches (`scenes`, `senders`) from now on; those that have begun go on."""
+        """Play these batches (`scenes`, `fleets`, `senders`) from now on; those that have begun go on."""
         wanted = [batch for batch in batches if batch not in self._done]
         if not wanted:
             return
@@ -54,8 +63,8 @@
             before.join()
         for batch in batches:
             rigs = {}
-            if batch == "scenes":
-                for name, seconds in SCENES.items():
+            if batch in _PLAYED:
+                for name, seconds in _PLAYED[batch].items():
                     file = EXPERIMENTS / "comeback" / f"{name}.toml"
                     rigs[name] = self._rig(file, name, seconds)
             else:
@@ -88,3 +97,32 @@
 
 
 RIGS = Rigs()
+
+
+class Played:
+    """A scene that was played, and what the oracle says of it."""
+
+    SLACK_S = 0.6  # that a busy machine may add: the schedules' pauses, waits and drains are far longer
+
+    def __init__(self, schedule: Schedule, folder: Path) -> None:
+        self.schedule = schedule
+        self.events: list[Event] = read(folder / "events.jsonl")
+        self.judged: Judged = judge(schedule, self.events, self.SLACK_S)
+
+    @classmethod
+    def all(cls, batch: str) -> dict[str, Played]:
+        root = RIGS.wait(batch)
+        return {
+            name: cls(load(EXPERIMENTS / "comeback" / f"{name}.toml"), root / name) for name in _PLAYED[batch]
+        }
+
+    def logs(self, event: str) -> list[dict[str, Any]]:
+        return [
+            {"member": one.fields["member"], "at": one.at, **one.fields["pairs"]}
+            for one in self.events if one.kind == "log" and one.fields["event"] == event
+        ]  # fmt: skip
+
+    def statuses(self, begin: float, end: float) -> Counter[int]:
+        """What the partners answered between two moments."""
+        within = [one for one in self.events if one.kind == "answer" and begin <= one.at < end]
+        return Counter(one.fields["status"] for one in within)
