Add the leases that fleet-wide budgets are divided by: pure, model-checked, a fleet in virtual time

Change: mountgauge/budgets: what a slice and a reserve are worth (shares), max-min division, a voter's promises, a holder's claims, epochs of members, and one member's choices; invariant and proof beside each. benchmarks/budget_model explores the machines themselves and prints the shortest run that breaks a mutant; benchmarks/budget_fleet plays members in virtual time. Nothing imports the package yet.

--- /dev/null
+++ b/benchmarks/budget_fleet.py
@@ -0,0 +1,253 @@
+"""A fleet that divides budgets, in virtual time: the members' state machines, a network that loses, delays,
+doubles and splits, clocks that drift, processes that are paused and die, folders that are lost.
+
+Everything comes from one seed. After each step `World.check` sums what each process would act on, by its own
+clock and however late it is, and notes where that is more than the whole.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from mountgauge.budgets.member import Member, Use
+from mountgauge.budgets.membership import Listed, Lists, Membership
+from mountgauge.budgets.messages import Answer, Ask
+from mountgauge.budgets.promises import Written
+from mountgauge.budgets.shares import Budget
+
+TICK_S = 0.05  # between two looks of a member
+EPSILON = 1e-6
+
+
+@dataclass
+class Weather:
+    loss: float = 0.0
+    delay_s: float = 0.001
+    jitter_s: float = 0.0
+    doubled: float = 0.0
+    groups: tuple[frozenset[str], ...] = ()  # who hears whom; none: everyone
+    deaf: frozenset[str] = frozenset()  # hears nothing, but is heard
+
+
+@dataclass
+class Node:
+    """One process: its member, its clock, its folder."""
+
+    name: str
+    rate: float  # of its clock
+    member: Member | None = None
+    paused_until: float = 0.0
+    run: int = 0
+    disk: list[tuple[str, Written]] = field(default_factory=list)
+    epoch: int = 0  # on disk
+    kept: bool = False  # the folder is surely whole
+    left_at: float | None = None
+
+
+class World:
+    def __init__(
+        self, budgets: Iterable[Budget], names: Iterable[str], seed: int, drift: float = 0.02,
+        weather: Weather | None = None,
+    ) -> None:  # fmt: skip
+        self.rng = random.Random(seed)
+        self.budgets = list(budgets)
+        self.drift = drift
+        self.weather = weather or Weather()
+        self.time = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.lists = Lists(1, tuple(Listed(name, (name, 0)) for name in names))
+        self.demand: Callable[[str, str, float], float] = lambda name, budget, at: 0.0
+        self.over: list[tuple[float, str, float]] = []
+        self.sent = self.bytes = 0
+        self._line: list[tuple[float, int, str, Ask | Answer]] = []
+        self._count = itertools.count()
+        self._ticks: list[tuple[float, int, str]] = []
+        for one in self.lists.members:
+            self.add(one.name)
+
+    # Processes
+
+    def add(self, name: str, rate: float | None = None) -> None:
+        """A member that was never here: clocks run anywhere within the drift."""
+        rate = self.rng.uniform(1 - self.drift, 1 + self.drift) if rate is None else rate
+        self.nodes[name] = Node(name, rate)
+        self.start(name)
+
+    def start(self, name: str, lists: Lists | None = None, budgets: Iterable[Budget] | None = None) -> None:
+        node = self.nodes[name]
+        node.run += 1
+        lists, now = lists or self.lists, self.clock(name)
+        longest = max([one.lease_s for one in self.budgets], default=1.0)
+        membership = Membership(name, lists, longest, self.drift, node.epoch if node.kept else 0)
+        written: dict[str, list[Written]] = {}
+        for budget, one in node.disk:
+            written.setdefault(budget, []).append(one)
+        node.member = Member(
+            name, node.run, membership, list(budgets or self.budgets), now,
+            random.Random(f"{name}/{node.run}/{self.rng.random()}"), node.kept, written,
+        )  # fmt: skip
+        node.kept, node.left_at = True, None
+        heapq.heappush(self._ticks, (self.time + self.rng.uniform(0, TICK_S), next(self._count), name))
+
+    def kill(self, name: str, folder: str = "kept") -> None:
+        """SIGKILL. `folder`: kept; lost; or old, a copy of no use, which the witness shows."""
+        node = self.nodes[name]
+        node.member, node.paused_until = None, 0.0
+        if folder == "lost":
+            node.disk, node.epoch, node.kept = [], 0, False
+        elif folder == "old":
+            node.disk = node.disk[: len(node.disk) // 2]
+            node.kept = False
+
+    def restart(self, name: str, folder: str = "kept") -> None:
+        self.kill(name, folder)
+        self.start(name)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """SIGSTOP and, later, SIGCONT; its clock goes on."""
+        self.nodes[name].paused_until = self.time + seconds
+
+    def goodbye(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.member is not None:
+            self._send(name, node.member.goodbye(self.clock(name), {}))
+            node.left_at, node.member = self.time, None
+
+    def change(self, names: Iterable[str], budgets: Iterable[Budget] | None = None) -> None:
+        """A new file for all: members added or removed, one an epoch."""
+        wanted, lists = set(names), self.lists
+        for name in sorted(wanted ^ set(lists.at(lists.epoch))):
+            epoch = lists.epoch + 1
+            if name in wanted:
+                members = (*lists.members, Listed(name, (name, 0), since=epoch))
+            else:
+                members = tuple(
+                    one._replace(until=epoch) if one.name == name else one for one in lists.members
+                )
+            lists = Lists(epoch, members)
+            assert not lists.fault(), lists.fault()
+        self.lists = lists
+        if budgets is not None:
+            self.budgets = list(budgets)
+
+    def reload(self, name: str) -> None:
+        """SIGHUP: this member reads the newest file."""
+        if (member := self.nodes[name].member) is not None:
+            member.learn(self.lists, self.budgets, self.clock(name))
+
+    def clock(self, name: str) -> float:
+        return 1000.0 + self.time * self.nodes[name].rate
+
+    # The network
+
+    def _send(self, source: str, messages: Iterable[tuple[str, Ask | Answer]]) -> None:
+        weather = self.weather
+        for target, message in messages:
+            self.sent += 1
+            self.bytes += 120 + 90 * len(message.lines)
+            groups = [one for one in weather.groups if source in one]
+            cut = bool(groups) and not any(target in one for one in groups)
+            lost = cut or target in weather.deaf or self.rng.random() < weather.loss
+            if lost and target != source:
+                continue
+            times = 1 + (self.rng.random() < weather.doubled)
+            for _ in range(times):
+                late = 0.0 if target == source else weather.delay_s + self.rng.random() * weather.jitter_s
+                heapq.heappush(self._line, (self.time + late, next(self._count), target, message))
+
+    def _arrive(self, target: str, message: Ask | Answer) -> None:
+        node = self.nodes.get(target)
+        if node is None or node.member is None:
+            return
+        if node.paused_until > self.time:  # it waits in the socket
+            heapq.heappush(self._line, (node.paused_until, next(self._count), target, message))
+            return
+        now = self.clock(target)
+        if isinstance(message, Ask):
+            answer, written = node.member.hear_ask(message, now)
+            node.disk += written
+            self._send(target, [(message.name, answer)])
+        else:
+            node.member.hear_answer(message, now)
+
+    # Running
+
+    def until(self, end: float, check_every: float = 0.02) -> None:
+        next_check = self.time
+        while True:
+            at = min([end, *(line[0][0] for line in (self._line, self._ticks) if line)])
+            if at >= end:
+                break
+            self.time = max(self.time, at)
+            if self._line and self._line[0][0] <= self.time:
+                _, _, target, message = heapq.heappop(self._line)
+                self._arrive(target, message)
+            elif self._ticks and self._ticks[0][0] <= self.time:
+                _, _, name = heapq.heappop(self._ticks)
+                self._tick(name)
+            if self.time >= next_check:
+                self.check()
+                next_check = self.time + check_every
+        self.time = end
+        self.check()
+
+    def _tick(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.member is None:
+            return
+        if node.paused_until > self.time:
+            heapq.heappush(self._ticks, (node.paused_until, next(self._count), name))
+            return
+        uses = {one.name: Use(self.demand(name, one.name, self.time)) for one in self.budgets}
+        self._send(name, node.member.tick(self.clock(name), uses))
+        node.epoch = max(node.epoch, node.member.membership.adopted)
+        heapq.heappush(self._ticks, (self.time + TICK_S, next(self._count), name))
+
+    def parts(self, budget: str) -> dict[str, float]:
+        """What each process would act on at this moment, a paused one too."""
+        return {
+            name: node.member.part(budget, self.clock(name)).whole
+            for name, node in self.nodes.items()
+            if node.member is not None and budget in node.member.states
+        }
+
+    def check(self) -> None:
+        for budget in self.budgets:
+            most = max(
+                [one.budget.whole for node in self.nodes.values() if node.member is not None
+                 for name, one in node.member.states.items() if name == budget.name], default=0.0
+            )  # fmt: skip
+            total = sum(self.parts(budget.name).values())
+            if total > most + EPSILON:
+                self.over.append((self.time, budget.name, total - most))
+
+    def use(self, budget: Budget) -> float:
+        """The share of what could be used of the whole that the parts and the demand allow at this moment."""
+        parts = self.parts(budget.name)
+        wanted = {name: self.demand(name, budget.name, self.time) for name in parts}
+        served = sum(min(parts[name], wanted[name]) for name in parts)
+        return served / max(1e-9, min(budget.whole, sum(wanted.values())))
+
+
+def mean_use(world: World, budget: Budget, begin: float, end: float, step: float = 0.25) -> float:
+    """Averaged over a stretch of virtual time, which is run through."""
+    world.until(begin)
+    found = []
+    at = begin
+    while at < end:
+        at += step
+        world.until(at)
+        found.append(world.use(budget))
+    return sum(found) / len(found)
+
+
+def even(each: float) -> Callable[[str, str, float], float]:
+    return lambda name, budget, at: each
+
+
+def by_name(wanted: Mapping[str, float]) -> Callable[[str, str, float], float]:
+    return lambda name, budget, at: wanted.get(name, 0.0)
--- /dev/null
+++ b/benchmarks/budget_model.py
@@ -0,0 +1,423 @@
+"""Model checking of the leases that budgets are divided by: the state machines themselves, not a copy.
+
+    python -m benchmarks.budget_model [--quick] [--walk STEPS]
+
+Explores all interleavings of asks, deliveries (late, twice, never), crashes with the folder and without it,
+and steps of time under drifting clocks, for three members: within each `Scope` breadth first to its depth,
+equal states (up to names of slices, and of members with equal clocks) visited once. In each state no slice
+may be acted on by two. Then mutants, each with one rule left out: for each the shortest run that breaks the
+invariant is printed as a message chart. Then seeded random walks of the same moves. One line of JSON last;
+exit 1 where the machines break the invariant or a mutant is not caught.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import itertools
+import json
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+from unittest import mock
+
+from mountgauge.budgets import bounds, claims
+from mountgauge.budgets.claims import Claims, at_least
+from mountgauge.budgets.promises import Holder, Promises, Written
+
+NAMES = ("a", "b", "c")
+LEASE = 2.0  # ticks
+DRIFT = 0.25
+RATES = {"a": 1 - DRIFT, "b": 1 + DRIFT, "c": 1 + DRIFT}  # of the members' clocks
+
+
+class Scope(NamedTuple):
+    """What may happen in an exploration."""
+
+    slices: int
+    depth: int  # moves
+    asks: int = 1  # most of one run
+    askers: str = "abc"
+    crashes: int = 0
+    ticks: int = 0
+    late: bool = False  # answers may come later than at once
+
+
+FULL = {  # the first two end by themselves, before their depth: all that can happen in them was looked at
+    "one ask each, two clocks, time": Scope(1, 12, askers="ab", ticks=4, late=True),
+    "one ask each, a crash": Scope(1, 14, askers="ab", crashes=1, ticks=1),
+    "one slice, two asks, a crash, time": Scope(1, 7, asks=2, crashes=1, ticks=3),
+    "two slices, all moves": Scope(2, 5, asks=2, crashes=1, ticks=4, late=True),
+}
+QUICK = {
+    "one ask each, two clocks, time": Scope(1, 12, askers="ab", ticks=3),
+    "two slices, all moves": Scope(2, 3, asks=2, crashes=1, ticks=4, late=True),
+}
+WALK = Scope(2, 60, asks=8, crashes=3, ticks=20, late=True)
+
+
+class Ask(NamedTuple):
+    holder: Holder
+    number: int
+    mask: int
+
+
+class Reply(NamedTuple):
+    voter: str
+    holder: Holder
+    number: int
+    granted: int
+
+
+class Node:
+    """One member: a voter, a holder, and its disk."""
+
+    __slots__ = ("claims", "disk", "keys", "promises", "run")
+
+    def __init__(self, run: int, promises: Promises, claims: Claims, disk: tuple[Written, ...]) -> None:
+        self.run, self.promises, self.claims, self.disk = run, promises, claims, disk
+        self.keys: dict[Any, Any] = {}  # of its state, by time and names
+
+    def copy(self) -> Node:
+        old, mine = self.promises, self.claims
+        promises = Promises(old.slices, old.drift, old.silent_until, dict(old.given), dict(old.newest))
+        voted = {voter: dict(one) for voter, one in mine.voted.items()}
+        claims = Claims(
+            mine.lease, mine.drift, mine.number, mine.mask, dict(mine.asked), dict(mine.kept), voted
+        )
+        return Node(self.run, promises, claims, self.disk)
+
+
+class World:
+    """One state. `sent` has every message that was ever sent: each may come at any time, again, or never."""
+
+    __slots__ = ("crashes", "nodes", "now", "sent", "slices")
+
+    def __init__(self, slices: int) -> None:
+        self.now, self.slices = 0.0, slices
+        self.crashes = 0
+        self.sent: frozenset[Any] = frozenset()
+        self.nodes = {
+            name: Node(1, Promises(slices, DRIFT), Claims(LEASE, DRIFT), ()) for name in NAMES
+        }
+
+    def copy(self) -> World:
+        found = World.__new__(World)
+        found.now, found.crashes, found.sent, found.slices = self.now, self.crashes, self.sent, self.slices
+        found.nodes = dict(self.nodes)
+        return found
+
+    def change(self, name: str) -> Node:
+        """This member's own copy, to be changed."""
+        node = self.nodes[name] = self.nodes[name].copy()
+        return node
+
+    def clock(self, name: str) -> float:
+        return self.now * RATES[name]
+
+    def broken(self) -> bool:
+        held = [node.claims.held(self.clock(name), NAMES) for name, node in self.nodes.items()]
+        return bool(at_least(held, 2))
+
+    # Moves: each returns the state after it, and its line of the chart
+
+    def moves(self, scope: Scope) -> Iterator[tuple[str, World]]:
+        for name in scope.askers:
+            node = self.nodes[name]
+            if node.claims.number < scope.asks:
+                for mask in range(1 << self.slices):
+                    if mask or node.claims.mask:
+                        yield f"{name}{node.run} asks for {mask:0{self.slices}b}", self.ask(name, mask)
+        for message in self.sent:
+            if isinstance(message, Ask):
+                who = f"{message.holder.name}{message.holder.run}"
+                for voter in NAMES:
+                    if (after := self.hear(voter, message, False)) is not None:
+                        yield f"{who} --ask {message.number}--> {voter}, answered at once", after
+                    if scope.late and (after := self.hear(voter, message, True)) is not None:
+                        yield f"{who} --ask {message.number}--> {voter}, the answer is late", after
+            elif (after := self.told(message)) is not None:
+                holder = message.holder
+                yield f"{message.voter} --answer {message.number}--> {holder.name}{holder.run}", after
+        if self.crashes < scope.crashes:
+            for name in NAMES:
+                for kept in (True, False):
+                    yield f"{name} crashes, folder {'kept' if kept else 'lost'}", self.crash(name, kept)
+        if self.now < scope.ticks:
+            after = self.copy()
+            after.now += 1
+            yield f"time {after.now:g}", after
+
+    def ask(self, name: str, mask: int) -> World:
+        after = self.copy()
+        node = after.change(name)
+        node.claims.drop(node.claims.mask & ~mask)
+        node.claims.want(mask)
+        number, claimed = node.claims.ask(after.clock(name))
+        after.sent |= {Ask(Holder(name, node.run), number, claimed)}
+        return after
+
+    def hear(self, voter: str, ask: Ask, late: bool) -> World | None:
+        if ask.number <= self.nodes[voter].promises.newest.get(ask.holder, 0):
+            return None
+        after = self.copy()
+        node = after.change(voter)
+        given = node.promises.ask(ask.holder, ask.number, ask.mask, LEASE, after.clock(voter))
+        assert given is not None
+        if given.written is not None:
+            write(node, given.written)
+        reply = Reply(voter, ask.holder, ask.number, given.granted)
+        if late:
+            after.sent |= {reply}
+            return after
+        return after.told(reply) or after
+
+    def told(self, reply: Reply) -> World | None:
+        node = self.nodes[reply.holder.name]
+        if node.run != reply.holder.run or not reply.granted:
+            return None
+        after = self.copy()
+        after.change(reply.holder.name).claims.answered(reply.voter, reply.number, reply.granted)
+        return after
+
+    def crash(self, name: str, kept: bool) -> World:
+        """The process dies and another one starts, with the folder or without it."""
+        after = self.copy()
+        after.crashes += 1
+        old = after.nodes[name]
+        disk = old.disk if kept else ()
+        restored = Promises.restored(self.slices, DRIFT, after.clock(name), kept, disk, LEASE)
+        after.nodes[name] = Node(old.run + 1, restored, Claims(LEASE, DRIFT), disk)
+        return after
+
+    # Equal states
+
+    def key(self) -> Any:
+        """The same for states that differ by names of slices, and of members with equal clocks, alone."""
+        renamed = [dict(zip(NAMES, names, strict=True)) for names in _RENAMED]
+        places = list(itertools.permutations(range(self.slices)))
+        return min(self._key(name, place) for name in renamed for place in places)
+
+    def _key(self, name: dict[str, str], place: tuple[int, ...]) -> Any:
+        def mask(one: int) -> int:
+            return sum(1 << place[bit] for bit in range(self.slices) if one >> bit & 1)
+
+        def holder(one: Holder) -> tuple[str, int]:
+            return name[one.name], one.run
+
+        nodes = [self._node_key(who, name, place) for who in NAMES]
+        sent = sorted(
+            (0, "", holder(one.holder), one.number, mask(one.mask)) if isinstance(one, Ask)
+            else (1, name[one.voter], holder(one.holder), one.number, mask(one.granted))
+            for one in self.sent
+        )  # fmt: skip
+        return tuple(sorted(nodes)), tuple(sent), self.crashes, self.now
+
+    def _node_key(self, who: str, name: dict[str, str], place: tuple[int, ...]) -> Any:
+        node, now = self.nodes[who], self.clock(who)
+        where = self.now, name["a"], name["b"], place
+        if (found := node.keys.get(where)) is not None:
+            return found
+        mine = node.claims
+
+        def mask(one: int) -> int:
+            return sum(1 << place[bit] for bit in range(self.slices) if one >> bit & 1)
+
+        given = sorted(
+            (name[one.name], one.run, mask(p.mask), mask(p.on_disk), round(p.until - now, 3))
+            for one, p in node.promises.given.items() if p.until > now
+        )  # fmt: skip
+        voted = sorted(
+            (name[voter], number, mask(granted))
+            for voter, votes in mine.voted.items() for number, granted in votes.items()
+        )  # fmt: skip
+
+        found = node.keys[where] = (
+            name[who], node.run, tuple(given), round(max(0.0, node.promises.silent_until - now), 3),
+            tuple(sorted((name[one.name], one.run, number) for one, number in node.promises.newest.items())),
+            mine.number, mask(mine.mask), tuple((n, mask(one)) for n, one in mine.kept.items()),
+            tuple(sorted((n, round(at - now, 3)) for n, at in mine.asked.items() if at > now)), tuple(voted),
+            tuple((name[one.holder.name], one.holder.run, mask(one.mask)) for one in node.disk),
+        )  # fmt: skip
+        return found
+
+
+_RENAMED = [
+    names for names in itertools.permutations(NAMES)
+    if all(RATES[one] == RATES[other] for one, other in zip(NAMES, names, strict=True))
+]  # fmt: skip
+
+
+def write(node: Node, one: Written) -> None:
+    """What the voter's caller does before an answer leaves."""
+    node.disk = (*node.disk, one)
+
+
+class Explored(NamedTuple):
+    states: int
+    depth: int  # that was explored in full
+    chart: tuple[str, ...]  # the shortest run that breaks the invariant; empty: none
+
+
+def explore(scope: Scope, most: int) -> Explored:
+    """Breadth first, to the scope's depth or this number of states."""
+    start = World(scope.slices)
+    seen = {start.key()}
+    line: deque[tuple[World, int, Any]] = deque([(start, 0, ())])
+    full = 0
+    while line:
+        world, deep, chart = line.popleft()
+        full = max(full, deep)
+        if deep == scope.depth:
+            continue
+        for said, after in world.moves(scope):
+            if after.broken():
+                return Explored(len(seen), deep + 1, _said((*_flat(chart), said)))
+            if (key := after.key()) not in seen:
+                seen.add(key)
+                line.append((after, deep + 1, (chart, said)))
+        if len(seen) >= most:
+            return Explored(len(seen), full - 1, ())
+    return Explored(len(seen), full, ())
+
+
+def _flat(chart: Any) -> tuple[str, ...]:
+    lines: list[str] = []
+    while chart:
+        chart, said = chart
+        lines.append(said)
+    return tuple(reversed(lines))
+
+
+def _said(lines: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(f"{number:2d}. {line}" for number, line in enumerate(lines, 1))
+
+
+def walk(steps: int, seed: int) -> tuple[int, str]:
+    """Random moves from the start, anew after each end; how many were made, and what broke."""
+    rng = random.Random(seed)
+    done = 0
+    while done < steps:
+        world, chart = World(WALK.slices), []
+        for _ in range(WALK.depth):
+            moves = list(world.moves(WALK))
+            if not moves:
+                break
+            said, world = rng.choice(moves)
+            chart.append(said)
+            done += 1
+            if world.broken():
+                return done, "\n".join(chart)
+    return done, ""
+
+
+# One rule left out in each: what it would have kept from happening must be found.
+
+
+def _no_write(node: Node, one: Written) -> None:
+    pass
+
+
+def _as_long(span: float, drift: float) -> float:
+    return span
+
+
+def _at_once(longest: float, drift: float) -> float:
+    return 0.0
+
+
+def _one_less(voters: int) -> int:
+    return voters // 2
+
+
+def _mask_alone(self: Claims, mask: int) -> None:
+    self.mask &= ~mask
+
+
+def _from_now(self: World, reply: Reply) -> World | None:
+    node = self.nodes[reply.holder.name]
+    if node.run != reply.holder.run or not reply.granted:
+        return None
+    after = self.copy()
+    mine = after.change(reply.holder.name).claims
+    if reply.number in mine.asked:
+        mine.asked[reply.number] = after.clock(reply.holder.name) + bounds.used_for(LEASE, DRIFT)
+    mine.answered(reply.voter, reply.number, reply.granted)
+    return after
+
+
+@contextlib.contextmanager
+def _both(*patches: contextlib.AbstractContextManager[Any]) -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for one in patches:
+            stack.enter_context(one)
+        yield
+
+
+MUTANTS: dict[str, tuple[Callable[[], contextlib.AbstractContextManager[Any]], Scope]] = {
+    "skip-the-durable-write": (
+        lambda: mock.patch(f"{__name__}.write", _no_write), Scope(1, 8, askers="ab", crashes=1)
+    ),
+    "forget-drift": (
+        lambda: _both(
+            mock.patch.object(bounds, "used_for", _as_long), mock.patch.object(bounds, "held_for", _as_long)
+        ),
+        Scope(1, 9, askers="ab", ticks=2),
+    ),
+    "answer-after-a-lost-folder": (
+        lambda: mock.patch.object(bounds, "silence", _at_once), Scope(1, 8, askers="ab", crashes=1)
+    ),
+    "majority-less-one": (lambda: mock.patch.object(bounds, "majority", _one_less), Scope(1, 6, askers="ab")),
+    "act-on-what-was-given-back": (
+        lambda: mock.patch.object(claims.Claims, "drop", _mask_alone), Scope(1, 10, asks=2, askers="ab")
+    ),
+    "count-the-lease-from-the-answer": (
+        lambda: mock.patch.object(World, "told", _from_now), Scope(1, 10, askers="ab", ticks=2, late=True)
+    ),
+}  # fmt: skip
+
+
+def mutants(most: int = 300_000) -> dict[str, Explored]:
+    """Each explored with one slice, which is enough to break a lease."""
+    found = {}
+    for name, (changed, scope) in MUTANTS.items():
+        with changed():
+            found[name] = explore(scope, most)
+    return found
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--walk", type=int, default=1_000_000)
+    args = parser.parse_args()
+    scopes, steps = (QUICK, 5_000) if args.quick else (FULL, args.walk)
+    began = time.monotonic()
+    clean = {}
+    for name, scope in scopes.items():
+        clean[name] = one = explore(scope, 3_000_000)
+        print(f"unchanged, {name}: {one.states} states, all to depth {one.depth}", flush=True)
+        print("".join(f"    {line}\n" for line in one.chart), end="")
+    caught = mutants()
+    for name, one in caught.items():
+        said = f"broken after {len(one.chart)} moves" if one.chart else "NOT CAUGHT"
+        print(f"{name}: {said}", flush=True)
+        print("".join(f"    {line}\n" for line in one.chart), end="")
+    walked, broke = walk(steps, 1)
+    print(broke)
+    found = {
+        "states": sum(one.states for one in clean.values()), "walk_steps": walked,
+        "depths": {name: one.depth for name, one in clean.items()},
+        "broken": sum(bool(one.chart) for one in clean.values()) + bool(broke),
+        "mutants": len(caught), "mutants_caught": sum(bool(one.chart) for one in caught.values()),
+        "seconds": round(time.monotonic() - began, 1),
+    }  # fmt: skip
+    print(json.dumps(found))
+    return 0 if not found["broken"] and found["mutants"] == found["mutants_caught"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/budgets/test_pure.py
@@ -0,0 +1,156 @@
+"""Budgets, the parts without I/O: what slices are worth, who should hold them, promises, claims, epochs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.budget_model import MUTANTS, QUICK, explore
+from mountgauge.budgets import bounds, shares
+from mountgauge.budgets.claims import Claims, at_least
+from mountgauge.budgets.division import HEADROOM, Wants, divide, max_min
+from mountgauge.budgets.membership import Listed, Lists, Membership
+from mountgauge.budgets.promises import Holder, Promises
+from mountgauge.budgets.shares import Budget, Kind
+
+PURE = settings(derandomize=True, deadline=None, max_examples=150)
+A, B = Holder("a", 1), Holder("b", 1)
+
+
+@PURE
+@given(
+    st.sampled_from(Kind), st.lists(st.integers(0, 500), min_size=1, max_size=6), st.floats(0, 1),
+    st.integers(0, 4), st.data(),
+)  # fmt: skip
+def test_reserves_and_slices_are_worth_the_largest_whole_at_most(
+    kind: Kind, wholes: list[int], reserve: float, least: int, data: st.DataObject
+) -> None:
+    """Whatever whole each member works with, and however the slices are spread."""
+    budget, members = Budget("b", kind, 0, reserve=reserve, least=least, slices=16), len(wholes)
+    owners = data.draw(st.lists(st.integers(0, members - 1), min_size=16, max_size=16))
+    total = 0.0
+    for member, whole in enumerate(wholes):
+        mask = sum(1 << place for place, owner in enumerate(owners) if owner == member)
+        total += shares.reserve(budget, whole, members) + shares.masked_worth(budget, whole, members, mask)
+        if whole == max(wholes) and kind is Kind.RATE:
+            all_of_it = shares.masked_worth(budget, whole, members, (1 << 16) - 1)
+            assert all_of_it + members * shares.reserve(budget, whole, members) == pytest.approx(whole)
+    assert total <= max(wholes) + 1e-6
+
+
+@PURE
+@given(
+    st.integers(0, 200),
+    st.dictionaries(
+        st.text("abcdef", min_size=1, max_size=2), st.builds(Wants, st.floats(0, 300), st.floats(0.1, 5))
+    ),
+)
+def test_division_is_max_min_fair_and_never_gives_more_than_there_is(
+    slices: int, wants: dict[str, Wants]
+) -> None:
+    found, real = divide(slices, wants), max_min(slices, wants)
+    assert sum(found.values()) <= slices and all(count >= 0 for count in found.values())
+    eased = {name: Wants(min(slices, want.slices * HEADROOM), want.weight) for name, want in wants.items()}
+    assert all(found[name] >= int(share) - 1 for name, share in max_min(slices, eased).items())
+    short = [name for name in wants if real[name] < wants[name].slices - 1e-6]
+    for name in short:  # nobody with more for its weight could give to one that is short
+        level = real[name] / wants[name].weight
+        assert all(real[other] / wants[other].weight <= level + 1e-6 for other in wants)
+    if slices and wants and sum(want.slices for want in wants.values()) * HEADROOM < slices:
+        assert sum(found.values()) == slices, "what nobody wants is spread as well"
+
+
+@PURE
+@given(st.lists(st.integers(0, (1 << 12) - 1), max_size=9), st.integers(1, 9))
+def test_majorities_are_counted_in_all_places_at_once(masks: list[int], need: int) -> None:
+    naive = sum(1 << place for place in range(12) if sum(mask >> place & 1 for mask in masks) >= need)
+    assert at_least(masks, need) == naive
+
+
+def test_a_voter_promises_a_slice_to_one_and_forgets_nothing_over_a_restart() -> None:
+    voter = Promises(4, drift=0.1)
+    first = voter.ask(A, 1, 0b0011, 10.0, now=0.0)
+    assert first is not None and first.granted == 0b0011 and first.written is not None
+    assert voter.ask(B, 1, 0b0110, 10.0, now=1.0) == (0b0100, 0b0011, (B, 0b0100, 10.0))
+    assert voter.ask(A, 2, 0b0011, 10.0, now=2.0) == (0b0011, 0b0100, None), "renewing writes nothing"
+    assert voter.ask(A, 2, 0b1111, 10.0, now=2.5) is None, "overtaken"
+    back = Promises.restored(4, 0.1, 100.0, True, voter.records(3.0), 10.0)
+    again = back.ask(B, 2, 0b0111, 10.0, now=110.9)
+    assert again is not None and again.granted == 0b0100, "counted anew from the start, with the drift"
+    assert (later := back.ask(B, 3, 0b0111, 10.0, now=111.1)) is not None and later.granted == 0b0111
+    lost = Promises.restored(4, 0.1, 100.0, False, (), 10.0)
+    assert (silent := lost.ask(B, 1, 0b1, 10.0, now=110.9)) is not None and silent.granted == 0
+    assert (speaks := lost.ask(B, 2, 0b1, 10.0, now=111.1)) is not None and speaks.granted == 1
+
+
+def test_a_holder_counts_from_its_ask_and_never_what_it_gave_back() -> None:
+    mine, voters = Claims(10.0, drift=0.1), ("x", "y", "z")
+    mine.want(0b11)
+    number, mask = mine.ask(0.0)
+    mine.answered("x", number, mask)
+    assert mine.held(5.0, voters) == 0
+    mine.answered("y", number, mask)
+    assert mine.held(8.9, voters) == 0b11 and mine.held(9.1, voters) == 0, "nine of ten seconds, from the ask"
+    assert mine.shrinks_at(1.0, voters) == pytest.approx(9.0)
+    mine.drop(0b01)
+    mine.want(0b01)
+    mine.answered("z", number, mask)
+    assert mine.held(5.0, voters) == 0b10, "an answer to an ask before the break counts no more"
+
+
+def lists(epoch: int, *members: Any, settled: int = 1) -> Lists:
+    return Lists(epoch, tuple(Listed(one[0], (one[0], 1), *one[1:]) for one in members), settled)
+
+
+def test_lists_change_by_one_member_an_epoch() -> None:
+    base = [("a",), ("b",), ("c",)]
+    assert lists(2, *base, ("d", 2)).fault() == ""
+    assert lists(2, *base, ("d", 2), ("e", 2)).fault() == "epoch 2: one member at a time, not d, e"
+    assert lists(3, *base, ("d", 2), ("e", 2), settled=2).fault() == ""
+    assert lists(1, ("a",), ("a",)).fault() == "'a' stands twice"
+    assert lists(1, ("a", 2)).fault() == "since: past the epoch"
+    assert lists(2, ("a", 1, 2)).fault() == "nobody is listed"
+
+
+def test_an_epoch_is_adopted_once_a_majority_has_left_the_one_before_last() -> None:
+    member = Membership("a", lists(1, ("a",), ("b",), ("c",)), 10.0, 0.0, sure=0)
+    assert member.step(0.0) and member.adopted == 1, "there is none before the first"
+    assert member.learn(lists(2, ("a",), ("b",), ("c",), ("d", 2))) == ""
+    member.hear("b", 1, 1.0)
+    assert not member.step(20.0), "b is still at 1 and would serve whoever counts by it"
+    member.hear("b", 2, 20.0)
+    assert not member.step(29.9) and member.step(30.1) and member.voters == ("a", "b", "c", "d")
+    assert member.learn(lists(1, ("a",), ("b",), ("c",))) == "epoch 1 is behind 2"
+    assert member.learn(lists(2, ("a",), ("b",), ("c",))) == "epoch 2 had other members"
+
+
+def test_a_reserve_is_divided_by_all_who_may_act_on_one() -> None:
+    base = [("a",), ("b",), ("c",)]
+    added = Membership("d", lists(2, *base, ("d", 2)), 10.0, 0.0, sure=0)
+    assert added.counted == 4 and not added.may_use_reserve()
+    for name in "ab":
+        added.hear(name, 2, 1.0)
+    added.hear("c", 1, 1.0)
+    assert not added.may_use_reserve(), "c still divides by three"
+    added.hear("c", 2, 2.0)
+    assert added.may_use_reserve()
+    left = Membership("a", lists(2, ("a",), ("b",), ("c", 1, 2)), 10.0, 0.0, sure=0)
+    assert left.counted == 3 and left.may_use_reserve(), "c may still run"
+    left.hear_ended(["b", "c"])
+    assert left.counted == 2, "the word of a member that is listed does not end it"
+
+
+@pytest.mark.parametrize("name", ["skip-the-durable-write", "answer-after-a-lost-folder", "majority-less-one",
+                                  "act-on-what-was-given-back", "forget-drift"])  # fmt: skip
+def test_the_model_catches_each_mutant(name: str) -> None:
+    changed, scope = MUTANTS[name]
+    with changed():
+        assert explore(scope, 100_000).chart
+
+
+def test_the_model_finds_nothing_in_what_is_explored_in_ci() -> None:
+    assert explore(QUICK["two slices, all moves"], 10_000).chart == ()
+    assert bounds.majority(3) == 2
