Put fleet-wide budgets to work: [[budget]], the gate before the first byte, mountgauge budgets

On the rig [[budget]] in schedules and the oracle's rule `budget`, which holds the calls that the partner saw against rate and burst, or against calls out at once.

Found on the rig: told a part of 0.01 before its first lease, the module's pace held the first call for 100 s (3 calls a second of 100); it hears of a part from its first lease on. With eight voters the four that are left are no majority: an even fleet names one that does not vote.

Off on the platform: not imported there, which a test looks at.

--- a/mountgauge/budgets/member.py
+++ b/mountgauge/budgets/member.py
@@ -82,7 +82,8 @@
 
 
 def lists_hash(lists: Lists) -> int:
-    return crc32("\n".join(lists.at(lists.epoch)).encode())
+    """Two files that name an epoch alike must name its members and voters alike."""
+    return crc32("\n".join([*lists.at(lists.epoch), "", *lists.voters(lists.epoch)]).encode())
 
 
 class Member:
@@ -367,6 +368,10 @@
 
     # Files
 
+    def records(self, now: float) -> list[tuple[str, Written]]:
+        """All promises that still bind."""
+        return [(name, one) for name, state in self.states.items() for one in state.promises.records(now)]
+
     def learn(self, lists: Lists, budgets: Collection[Budget], now: float) -> str:
         """A new file while this runs; why its members are not taken, or empty. Its budgets are taken all the
         same: a new one knows nothing of what was promised of an earlier one of its name.
--- a/mountgauge/budgets/membership.py
+++ b/mountgauge/budgets/membership.py
@@ -7,8 +7,8 @@
 Invariant: at no moment do two members act on leases that they count by the voters of epochs two or more
 apart. Proof: a member whose file is at `f` refuses asks that count by epochs below `f - 1`, from before it
 says so. Epoch `e` is adopted only where for each epoch `k` from the one that was surely adopted (or that the
-file calls `settled`) up to `e - 1` a majority of `k`'s members has been heard, for a lease by now, to have a
-file at `k + 1` or later. Whoever counts by `j <= e - 2` needs a majority of `j`'s members; that has a member
+file calls `settled`) up to `e - 1` a majority of `k`'s voters has been heard, for a lease by now, to have a
+file at `k + 1` or later. Whoever counts by `j <= e - 2` needs a majority of `j`'s voters; that has a voter
 in common with the majority of `j + 1`'s that has been at `j + 2` or later for a lease, and has promised
 nothing to whoever counts by `j` since. So no lease that is counted by `j` is left. A file that lags by one
 epoch is served; one that lags by two is refused.
@@ -37,6 +37,7 @@
     since: int = 1
     until: int = FOREVER  # the first epoch that it is no member of
     ended: bool = False  # the operator's word that it has ended for good
+    voter: bool = True  # an even number of voters is no safer than one less, and bears one loss less
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +50,14 @@
 
     @lru_cache(maxsize=64)  # noqa: B019 (small, frozen and few)
     def at(self, epoch: int) -> tuple[str, ...]:
-        """The members of an epoch: all of them vote."""
+        """The members of an epoch."""
         return tuple(sorted(one.name for one in self.members if one.since <= epoch < one.until))
 
+    @lru_cache(maxsize=64)  # noqa: B019
+    def voters(self, epoch: int) -> tuple[str, ...]:
+        """Those of them that promise slices: two epochs that follow each other differ by one at most."""
+        return tuple(sorted(one.name for one in self.members if one.since <= epoch < one.until and one.voter))
+
     def fault(self) -> str:
         """What is wrong with it, in a few words; empty: nothing."""
         names = [one.name for one in self.members]
@@ -68,6 +74,8 @@
             return "until: not past since"
         if not self.at(self.epoch):
             return "nobody is listed"
+        if not self.voters(self.epoch):
+            return "nobody votes"
         for epoch in range(self.settled + 1, self.epoch + 1):
             changed = set(self.at(epoch)) ^ set(self.at(epoch - 1))
             if len(changed) > 1:
@@ -108,7 +116,7 @@
         self.hear(self.me, target, now)
         base = max(self.adopted, self.lists.settled)
         for epoch in range(base, target):
-            voters = self.lists.at(epoch)
+            voters = self.lists.voters(epoch)
             wait = bounds.held_for(self.lease, self.drift)
             sure = [name for name in voters if now - self.heard.get(name, {}).get(epoch + 1, now) >= wait]
             if len(sure) < bounds.majority(len(voters)):
@@ -118,7 +126,7 @@
 
     @property
     def voters(self) -> tuple[str, ...]:
-        return self.lists.at(self.adopted) if self.adopted else ()
+        return self.lists.voters(self.adopted) if self.adopted else ()
 
     @property
     def listed(self) -> bool:
@@ -145,8 +153,13 @@
         """A new file; why it is not taken, or empty."""
         if lists.epoch < self.lists.epoch:
             return f"epoch {lists.epoch} is behind {self.lists.epoch}"
-        if lists.epoch == self.lists.epoch and lists.at(lists.epoch) != self.lists.at(lists.epoch):
+        same = lists.epoch == self.lists.epoch
+        if same and lists.at(lists.epoch) != self.lists.at(lists.epoch):
             return f"epoch {lists.epoch} had other members"
+        votes = {one.name: one.voter for one in self.lists.members}
+        for one in lists.members:
+            if votes.get(one.name, one.voter) != one.voter:
+                return f"'{one.name}' voted otherwise: remove it, and add it under another name"
         self.lists = lists
         self.ended |= {one.name for one in lists.members if one.ended}
         return ""
--- a/mountgauge/budgets/shares.py
+++ b/mountgauge/budgets/shares.py
@@ -31,13 +31,10 @@
 
     dest: int | None = None
     endpoint: str | None = None
-    tenant: str | None = None
 
-    def binds(self, dest: int, endpoint: str, tenant: str) -> bool:
-        return (
-            (self.dest is None or self.dest == dest)
-            and (self.endpoint is None or self.endpoint == endpoint)
-            and (self.tenant is None or self.tenant == tenant)
+    def binds(self, dest: int, endpoint: str) -> bool:
+        return (self.dest is None or self.dest == dest) and (
+            self.endpoint is None or self.endpoint == endpoint
         )
 
 
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `mountgauge run | agent | status | tenants | comeback | check | lab`."""
+"""The command line: `mountgauge run | agent | status | tenants | comeback | budgets | check | lab`."""
 
 from __future__ import annotations
 
@@ -40,6 +40,10 @@
         "--wait", type=float, metavar="S", help="until all are at full service, S s at most"
     )
     comeback.add_argument("--watch", action="store_true", help="a table that renews itself")
+    budgets = commands.add_parser("budgets", help="show who holds which part of fleet-wide budgets")
+    budgets.add_argument("address", nargs="*", default=["127.0.0.1:9100"], help="default: %(default)s")
+    budgets.add_argument("--json", action="store_true", help="as one JSON object a look")
+    budgets.add_argument("--watch", action="store_true", help="a table that renews itself")
     commands.add_parser("lab", add_help=False, help="play schedules of faults on real senders")
     check = commands.add_parser(
         "check", help="read an operator's or agent's file and say what is wrong with it"
@@ -171,6 +175,10 @@
                 from mountgauge.comeback.table import show
 
                 return show(args.address, args.json, args.wait, args.watch)
+            case "budgets":
+                from mountgauge.budgets.table import show as show_budgets
+
+                return show_budgets(args.address, args.json, args.watch)
             case "check":
                 return _check(args.file)
             case "run":
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -125,6 +125,19 @@
     def taken(self, tenant: str) -> None: ...
 
 
+class CallGate(Protocol):
+    """Places of fleet-wide budgets for calls: a call without one waits, and never sends a byte."""
+
+    def start(self, call: Call) -> bool:
+        """Whether it may look for its connection now; else it is asked again at `Sender.release`."""
+
+    def take(self, call: Call) -> bool:
+        """In the last step before its first byte: whether it has its place."""
+
+    def finished(self, call: Call, answered: bool) -> None:
+        """It is over, whether it was sent or not."""
+
+
 class MapSource(Protocol):
     def watch(self, on: bool) -> None: ...
 
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -13,6 +13,7 @@
 from mountgauge.core.journal import Journal, JournalFull, Stored
 from mountgauge.core.ports import (
     Call,
+    CallGate,
     Clock,
     End,
     Gate,
@@ -34,6 +35,9 @@
 log = logging.getLogger("mountgauge.sender")
 
 _NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+_MAY_STILL_RUN = {Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED}  # there, though it is over here
+_SHRUNK = 0.8  # of a budget's part: less than it was by more than its steps
+_LEAST_PACE = 0.3  # calls/s: a slower one would hold the first call after a part has grown again
 _AT_ONCE = 64  # new messages that the module decides on in one turn
 _BACK_AT_ONCE = 256  # messages of an earlier life that one turn gives back to the module
 _ASK_AGAIN_MS = 250
@@ -83,7 +87,9 @@
         self.counts: Counter[tuple[str, str]] = Counter()  # for metrics: ends and outcomes
         self.calls = 0  # slots taken
         self.fresh: Callable[[], bool] | None = None  # whether what is known is new enough to send by
-        self._parked: list[Call] = []  # until it is
+        self.call_gate: CallGate | None = None  # fleet-wide budgets
+        self.parts: dict[int, float] = {}  # by destination: calls/s of its budget that are this sender's
+        self._parked: list[Call] = []  # until what is known is fresh, and a budget has a place
         self._back: deque[io.Restored] = deque()  # of an earlier life, not yet given back to the module
         self._ready: list[Submission | io.Event] = []
         self._timers: list[tuple[float, int]] = []
@@ -221,9 +227,29 @@
 
     def _maintained(self, hop: NextHop) -> NextHop:
         if hop.id in self.detached and hop.entry.readiness == Readiness.READY:
-            return hop._replace(entry=hop.entry._replace(readiness=Readiness.DRAINING))
+            hop = hop._replace(entry=hop.entry._replace(readiness=Readiness.DRAINING))
+        if (part := self.parts.get(hop.entry.owner)) is not None:
+            hop = hop._replace(entry=hop.entry._replace(scale=part * self.rules.balancers))
         return hop
 
+    def divide(self, parts: Mapping[int, float]) -> None:
+        """Calls/s of each destination's budget that are this sender's: the module is told them as it is told
+        a listed limit; where one has shrunk, that its pace is no higher.
+        """
+        shrunk = [dest for dest, part in parts.items() if part < _SHRUNK * self.parts.get(dest, 0.0)]
+        changed = {dest for dest in {*parts, *self.parts} if parts.get(dest) != self.parts.get(dest)}
+        self.parts = dict(parts)
+        entries = []
+        for hop_id, listed in self.listed_hops.items():
+            if listed.entry.owner in changed:
+                hop = self.hops[hop_id] = self._maintained(listed)
+                entries.append(hop.entry)
+        if entries:
+            self._ready.append(io.Targets(io.ListKind.DELTA, self.version, tuple(entries)))
+        for dest in shrunk:
+            self.remember(io.Remembered(dest, 0.0, max(_LEAST_PACE, parts[dest])))
+        self._soon()
+
     # The turn
 
     def _soon(self) -> None:
@@ -425,17 +451,31 @@
         for item in call.items:
             if item.expires < call.give_up_at:  # its time ends before that of the call that it shares
                 self.clock.call_at(item.expires, lambda item=item: self._item_late(call, item))  # type: ignore[misc]
-        if self.fresh is not None and not self.fresh():
+        self._go(call)
+
+    def _go(self, call: Call) -> None:
+        stale = self.fresh is not None and not self.fresh()
+        if stale or (self.call_gate is not None and not self.call_gate.start(call)):
             self._parked.append(call)
         else:
             self.next_hops.start(call)
 
+    @property
+    def waiting(self) -> Counter[tuple[int, str]]:
+        """By destination and endpoint: calls that wait for their first byte; and, with no endpoint, messages
+        that the module holds.
+        """
+        found = Counter((call.hop.entry.owner, call.hop.id) for call in self._parked)
+        for dest in self.policy.dests.values():
+            found[dest.id, ""] += len(dest.held)
+        return found
+
     def release(self) -> None:
         """What was to be looked at before the next first byte has been: parked calls go if they may."""
         parked, self._parked = self._parked, []
         for call in parked:
             if call.give_up_at > self.clock.now():
-                self.next_hops.start(call)
+                self._go(call)
             else:
                 self.finished(call, {})
 
@@ -470,6 +510,8 @@
             held = self.held.get(item.number)
             if held is not None and not held.over and not item.reported and item.expires > now:
                 going.append(item)
+        if not going or (self.call_gate is not None and not self.call_gate.take(call)):
+            return []
         try:
             self.journal.attempt([item.id for item in going], self.clock.wall(), hop.entry.zone)
         except JournalFull as error:
@@ -485,6 +527,9 @@
     def finished(self, call: Call, results: dict[int, Result]) -> None:
         self.calls -= 1
         now = self.clock.now()
+        if self.call_gate is not None:
+            known = [results[item.number].outcome for item in call.sent if item.number in results]
+            self.call_gate.finished(call, bool(known) and not set(known) & _MAY_STILL_RUN)
         for item in call.items:
             result = results.get(item.number, Result(Outcome.MOOT))
             if result.wait > 0:
--- a/mountgauge/lab/rig/files.py
+++ b/mountgauge/lab/rig/files.py
@@ -21,8 +21,9 @@
     hops: Iterable[tuple[str, int, Place, str]],
     peers: Iterable[Place],
     notices: Place,
+    members: Iterable[tuple[str, Place]] = (),
 ) -> str:
-    """`hops`: id, destination, where this member reaches it, state."""
+    """`hops`: id, destination, where this member reaches it, state; `members`: where it reaches them."""
     fleet = schedule.fleet
     rates = {partner.dest: partner.told for partner in schedule.partners}
     text = [
@@ -51,6 +52,20 @@
             f'keys = ["{KEY}"]',
             f"interval = {fleet.gossip_interval_s}",
         ]
+    if schedule.budgets:
+        for number, (member, (at, port)) in enumerate(members):
+            text += ["[[member]]", f'name = "{member}"', f'at = "{at}:{port}"']
+            if fleet.voters and number >= fleet.voters:
+                text.append("voter = false")
+    for budget in schedule.budgets:
+        text += [
+            "[[budget]]", f'name = "{budget.name}"', f'kind = "{budget.kind}"', f"whole = {budget.whole}",
+            f"of = {{ dest = {budget.dest} }}", f"reserve = {budget.reserve}", f"lease = {budget.lease_s}",
+        ]  # fmt: skip
+        if budget.kind == "rate":
+            text.append(f"burst = {budget.burst or budget.whole}")
+        elif budget.kind == "concurrent":
+            text.append(f"ends_within = {budget.ends_within_s}")
     for tenant in schedule.tenants:
         text += [
             "[[tenant]]",
--- a/mountgauge/lab/rig/oracle.py
+++ b/mountgauge/lab/rig/oracle.py
@@ -12,6 +12,8 @@
 - `attempts`: no more calls of a message than the settings allow.
 - `wait`: a member that was told to wait sends nothing there until the wait is over; its restart ends the
   wait.
+- `budget`: calls at a destination, in any span of time, stay within the rate and burst of its fleet-wide
+  budget; calls there at once within the number of one for calls out (`slack_s` apart).
 - `drain`: nothing new to an endpoint later than `DRAIN_S` after the member was told that it drains or is
   gone.
 
@@ -30,7 +32,7 @@
 from typing import NamedTuple
 
 from mountgauge.lab.rig.events import Event
-from mountgauge.lab.rig.schedule import Schedule
+from mountgauge.lab.rig.schedule import BudgetOf, Schedule
 
 LATE_S = 0.35
 EXCUSED_S = 1.5
@@ -124,6 +126,8 @@
             self._repeats(msg_id, calls)
         self._waits()
         self._drains()
+        for budget in self.schedule.budgets:
+            self._budget(budget)
         self.found.broken.sort(key=lambda one: one.at)
         return self.found
 
@@ -273,6 +277,28 @@
                     self._broken("wait", call.at, call.member, call.id, why)
                     break
 
+    def _budget(self, budget: BudgetOf) -> None:
+        """Calls as the partner saw them, on one clock; links and queues move each by `slack` at most."""
+        calls = [one for one in self.calls.values() if one.dest == budget.dest]  # in their order
+        if budget.kind == "rate":
+            burst = (budget.burst or budget.whole) + budget.whole * self.slack
+            level, at = 0.0, calls[0].at if calls else 0.0
+            for call in calls:  # the most by which any span up to here is over its rate
+                level = max(0.0, level - budget.whole * (call.at - at)) + 1.0
+                at = call.at
+                if level > burst + 1e-6:
+                    why = f"{budget.name}: {level - burst:.1f} calls above {budget.whole:g}/s and its burst"
+                    self._broken("budget", call.at, call.member, call.id, why)
+        elif budget.kind == "concurrent":
+            out: list[float] = []
+            for call in calls:
+                out = [end for end in out if end > call.at]
+                ended = call.ended if call.ended is not None else self.end_at
+                out.append(ended - self.slack)
+                if len(out) > budget.whole:
+                    why = f"{budget.name}: {len(out)} calls out, {budget.whole:g} may be"
+                    self._broken("budget", call.at, call.member, call.id, why)
+
     def _drains(self) -> None:
         """By the lists that were written to each member, in order."""
         shut: dict[tuple[str, str], float] = {}  # since when an endpoint is told to be leaving or gone
--- a/mountgauge/lab/rig/play.py
+++ b/mountgauge/lab/rig/play.py
@@ -144,8 +144,12 @@
             ]
             place = schedule.names.index(name)
             peers = [at for (source, _), at in self.peers.items() if source == place]
+            members = [
+                (other, self.peers.get((place, number), (self.members[other].host, GOSSIP)))
+                for number, other in enumerate(schedule.names)
+            ]
             text = files.operator_file(
-                schedule, name, member.host, hops, peers, self.links.all[name, "discovery"].place
+                schedule, name, member.host, hops, peers, self.links.all[name, "discovery"].place, members
             )
             member.command = [*self.command, "run", str(path)]
         spare = path.with_suffix(".new")
--- a/mountgauge/lab/rig/schedule.py
+++ b/mountgauge/lab/rig/schedule.py
@@ -40,6 +40,7 @@
     cold_s: float = 14.0
     gossip: bool = False  # [fleet] in the members' files
     gossip_interval_s: float = 0.25
+    voters: int = 0  # members, from the first on, that vote on budgets; 0: all
     comeback: bool = True
     disk_mb: float = 16.0
     ask_within_s: float = 10.0
@@ -100,6 +101,20 @@
     burst: float
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetOf:
+    """A fleet-wide budget of the members' files, bound to a destination."""
+
+    name: str
+    dest: int
+    whole: float
+    kind: str = "rate"
+    burst: float = 0.0  # 0: as many as the whole
+    reserve: float = 0.05
+    lease_s: float = 4.0
+    ends_within_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     at: float
@@ -133,6 +148,7 @@
     partners: tuple[Partner, ...]
     loads: tuple[Load, ...]
     tenants: tuple[Tenant, ...]
+    budgets: tuple[BudgetOf, ...]
     faults: tuple[Fault, ...]
 
     @property
@@ -193,6 +209,9 @@
     partners = tuple(_fill(Partner, table) for table in top.tables("partner"))
     loads = tuple(_fill(Load, table) for table in top.tables("load"))
     tenants = tuple(_fill(Tenant, table) for table in top.tables("tenant"))
+    budgets = tuple(_fill(BudgetOf, table) for table in top.tables("budget"))
+    if budgets and not fleet.gossip:
+        raise ConfigError("budget: needs fleet.gossip = true")
     faults = tuple(_fault(table, place, fleet) for place, table in enumerate(top.tables("fault")))
     if not partners:
         raise ConfigError("partner: at least one is needed")
@@ -204,6 +223,9 @@
             raise ConfigError(f"load[{place}].dest: no partner has {one.dest}")
         if one.grade not in named:
             raise ConfigError(f"load[{place}].grade: no class '{one.grade}'")
+    for place, budget in enumerate(budgets):
+        if budget.dest not in dests:
+            raise ConfigError(f"budget[{place}].dest: no partner has {budget.dest}")
     for place, fault in enumerate(faults):
         if fault.do in (*ON_PARTNERS, "clump") and fault.dest not in dests:
             raise ConfigError(f"fault[{place}].dest: no partner has {fault.dest}")
@@ -220,6 +242,7 @@
         partners=partners,
         loads=loads,
         tenants=tenants,
+        budgets=budgets,
         faults=faults,
     )
     top.done()
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -18,11 +18,13 @@
 from rillspindle.interface import Entry, Readiness, Settings
 
 if TYPE_CHECKING:
+    from mountgauge.budgets.settings import BudgetFile
     from mountgauge.tenants.settings import TenantFile
 
 _STATES = {"active": Readiness.READY, "leaving": Readiness.DRAINING}
 _PROTOCOLS = ("http", "amqp")
 _KIND = "next-hop"
+BUDGETS_ROOM = 512 * 1024  # bytes of disk for what was promised: twice `budgets.files.MOST_BYTES`
 _LEAST_JOURNAL = 512 * 1024  # bytes of disk that the journal keeps beside the counts of tenants
 
 
@@ -64,6 +66,7 @@
     tenants: TenantFile | None = None
     clients: ClientSettings | None = None
     comeback: bool = True
+    budgets: BudgetFile | None = None
 
 
 def load(path: Path) -> Operator:
@@ -113,6 +116,13 @@
     enabled = bool(comeback.get("enabled", bool, default=True))
     settings["extra"]["ramp"] = enabled
     disk -= COMEBACK_ROOM if enabled else 0
+    budgets = _budgets(top, name, hops)
+    if budgets is not None:
+        if tenants is None or tenants.fleet is None:
+            raise ConfigError("budget: needs [fleet]")
+        disk -= BUDGETS_ROOM
+        if disk < _LEAST_JOURNAL:
+            raise ConfigError("limits.disk_mb: too little for the budgets' file beside the journal")
     access = _access(users, vhost, tenants, resp)
     status_listen = status.address("listen") if status is not None else None
     if status_listen is not None and not status_listen.host.startswith("127."):
@@ -148,7 +158,7 @@
             table.done()
     return Operator(
         path, config, hops, resp_listen, front, notices, status_listen, export, access, tenants, clients,
-        enabled,
+        enabled, budgets,
     )  # fmt: skip
 
 
@@ -162,6 +172,17 @@
     return read_tenants(top)
 
 
+def _budgets(top: Table, name: str, hops: Hops) -> BudgetFile | None:
+    if not {"budget", "member"} & set(top.raw):
+        return None
+    try:  # with its libraries: only where it is asked for
+        from mountgauge.budgets.settings import read_budgets
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"budget: {error.name} is missing: see requirements-fleet.txt") from None
+    dests = {hop.entry.owner for hop in hops.update.hops}
+    return read_budgets(top, name, dests, set(hops.protocols))
+
+
 def _disk_for(tenants: TenantFile) -> int:
     from mountgauge.tenants.store import room_for
 
--- a/mountgauge/run/operator.py
+++ b/mountgauge/run/operator.py
@@ -179,6 +179,14 @@
             self.sender.gate = self.tenants
             self.parts.append(TenantsPart(self.tenants))
             pages["/tenants"] = self.tenants.report
+        if operator.budgets is not None and self.tenants is not None:
+            from mountgauge.run.budgets import BudgetsPart
+
+            budgets = BudgetsPart(
+                operator.budgets, self.sender, self.tenants, self.config.name, self.config.state
+            )
+            self.parts.append(budgets)
+            pages["/budgets"] = budgets.budgets.report
         if operator.comeback:
             from mountgauge.run.comeback import ComebackPart
 
@@ -232,6 +240,8 @@
             needs.append("comeback.enabled")
         if self.tenants is None and operator.tenants is not None:
             needs.append("tenant")
+        if old.budgets is None and operator.budgets is not None:
+            needs.append("budget")
         for part in self.parts:
             needs += part.reload(operator)
         self._told(needs)
--- a/mountgauge/tenants/service.py
+++ b/mountgauge/tenants/service.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import secrets
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -85,6 +86,7 @@
             self.fleet.doubtful = bool(self.store.error)
         self.gate = Gate(self._quotas(), counts, self.fleet, now, saved.pending)
         self.udp: Udp | None = None
+        self.heads: dict[bytes, Callable[[bytes, Place], Out]] = {}  # other kinds of datagrams, by their head
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._rest_at = now
         self._conflicts: set[str] = set()
@@ -128,6 +130,8 @@
         self._timers[name] = self._loop.call_later(interval, again)
 
     def _received(self, data: bytes, source: Place) -> Out:
+        if (other := self.heads.get(data[:2])) is not None:
+            return other(data, source)
         assert self.fleet is not None
         return self.fleet.receive(data, source, self._loop.time())
 
--- a/mountgauge/tenants/settings.py
+++ b/mountgauge/tenants/settings.py
@@ -17,6 +17,7 @@
 MOST_TENANTS = 20_000
 FLUSH = 0.1  # s between two times that new counts are written down
 _LEAST_KEY = 16  # characters
+FOR_BUDGETS = ("epoch", "settled", "drift")  # of [fleet]: read by mountgauge.budgets.settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +128,8 @@
     linger = table.positive("linger", 60)
     if not 2 * interval <= suspect < gone < forget:
         raise ConfigError("fleet: 2 * interval <= suspect < gone < forget is needed")
+    for key in FOR_BUDGETS:
+        table.get(key, int, float, default=0)
     table.done()
     return FleetSettings(
         name, listen, tuple(keys),
--- a/mountgauge/tenants/wire.py
+++ b/mountgauge/tenants/wire.py
@@ -102,24 +102,32 @@
         self._encoder = msgspec.msgpack.Encoder()
 
     def close(self, datagram: Datagram) -> bytes:
-        body = _HEAD + self._first + self._encoder.encode(datagram)
-        return body + blake3(body, key=self._keys[self._first]).digest(_SEAL)
+        return self.lock(self._encoder.encode(datagram))
 
     def open(self, data: bytes) -> Datagram:
         """Refused where it is not a datagram of this fleet under a key that holds now."""
+        try:
+            return self._decoder.decode(self.unlock(data))
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            raise Refused("malformed") from None
+
+    def lock(self, content: bytes, head: bytes = _HEAD) -> bytes:
+        """`head` tells the kinds of datagrams of one fleet apart; it is sealed with the rest."""
+        body = head + self._first + content
+        return body + blake3(body, key=self._keys[self._first]).digest(_SEAL)
+
+    def unlock(self, data: bytes, head: bytes = _HEAD) -> bytes:
+        """What was sealed; Refused where it was not, or not by this fleet."""
         if len(data) > MOST:
             raise Refused("oversized")
-        if len(data) < len(_HEAD) + 2 + _SEAL or data[:2] != _HEAD:
+        if len(data) < len(head) + 2 + _SEAL or data[: len(head)] != head:
             raise Refused("malformed")
         if (key := self._keys.get(data[2:4])) is None:
             raise Refused("unknown-key")
         body, seal = data[:-_SEAL], data[-_SEAL:]
         if not hmac.compare_digest(blake3(body, key=key).digest(_SEAL), seal):
             raise Refused("forged")
-        try:
-            return self._decoder.decode(body[4:])
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-            raise Refused("malformed") from None
+        return body[4:]
 
 
 class Window:
--- /dev/null
+++ b/tests/budgets/test_parts.py
@@ -0,0 +1,264 @@
+"""The gate, the file with its witness, datagrams, settings and the table of budgets."""
+
+from __future__ import annotations
+
+import math
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mountgauge.budgets import wire
+from mountgauge.budgets.files import Votes
+from mountgauge.budgets.gate import Gate
+from mountgauge.budgets.member import Part
+from mountgauge.budgets.messages import Answer, AnswerLine, Ask, AskLine
+from mountgauge.budgets.promises import Holder, Written
+from mountgauge.budgets.shares import Budget, Kind, Of
+from mountgauge.budgets.table import rows, sound
+from mountgauge.core.config import ConfigError
+from mountgauge.operator_file import load
+from mountgauge.tenants.wire import MOST, Refused, Seal
+
+INF = math.inf
+RATE = Budget("a-rate", Kind.RATE, 20, burst=6)
+OUT = Budget("b-out", Kind.CONCURRENT, 8, of=Of(dest=7), ends_within_s=3.0)
+DAY = Budget("c-day", Kind.ALLOWANCE, 5, of=Of(endpoint="x"), period_s=100.0)
+
+
+def gate(parts: dict[str, Part], *budgets: Budget) -> Gate:
+    return Gate(budgets, lambda name, now: (parts[name], 20.0, 2), 0.0)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 0.6), st.sampled_from(["call", "grow", "shrink", "lapse"]), st.floats(0, 12)),
+        max_size=60,
+    )
+)
+def test_a_rate_lets_no_span_have_more_than_its_parts_and_its_burst(
+    moves: list[tuple[float, str, float]],
+) -> None:
+    """Parts that grow, shrink and lapse; what was let through is held against what the parts allowed."""
+    parts = {"a-rate": Part(1.0, 5.0, INF)}
+    one, now, level = gate(parts, RATE), 0.0, 0.0
+    for gap, what, amount in moves:
+        had = parts["a-rate"]
+        lasts = max(0.0, min(gap, had.until - now))
+        level += had.whole * lasts + had.reserve * (gap - lasts)
+        now += gap
+        if now >= had.until:
+            parts["a-rate"] = had = Part(had.reserve, 0.0, INF)
+        level = min(level, 1 + 4 * had.whole / 20)
+        if what == "call":
+            if one.start(7, "x", now) == 0 and one.take(7, "x", now):
+                level -= 1
+                assert level >= -1e-6
+            continue
+        one.settle(now)
+        parts["a-rate"] = {
+            "grow": Part(1.0, max(had.leased, amount), had.until),
+            "shrink": Part(1.0, min(had.leased, amount), INF),
+            "lapse": Part(1.0, had.leased, now + 0.3),
+        }[what]  # fmt: skip
+        one.settle(now)
+        level = min(level, 1 + 4 * parts["a-rate"].whole / 20)
+
+
+def test_all_budgets_of_a_call_hold_and_none_leaks_when_one_says_no() -> None:
+    parts = {"a-rate": Part(20, 0, INF), "b-out": Part(2, 0, INF), "c-day": Part(3, 0, INF)}
+    one = gate(parts, RATE, OUT, DAY)
+    assert one.start(7, "x", 0.0) > 0, "a new process has no calls saved up"
+    assert one.start(7, "x", 1.0) == 0 and one.start(7, "x", 1.0) == 0
+    assert one.start(7, "x", 1.0) > 0, "two places of calls out are kept"
+    level = one.books["a-rate"].level
+    assert one.take(7, "x", 1.0) and one.take(7, "x", 1.0) and not one.take(7, "x", 1.0)
+    assert one.books["a-rate"].level == pytest.approx(level - 2) and one.books["c-day"].used(1.0) == 2
+    one.ended(7, "x", 1.1, answered=False)
+    assert one.start(7, "x", 4.0) > 0, "it may still run at the partner"
+    one.ended(7, "x", 4.0, answered=True)
+    assert one.start(7, "x", 4.0) == 0 and one.take(7, "x", 4.0)
+    one.ended(7, "x", 4.05, answered=True)
+    assert one.start(7, "x", 4.2) > 0 and one.start(7, "y", 4.2) == 0, "three of three a day, of `x` alone"
+    assert one.start(7, "x", 101.5) == 0, "the first has left the period"
+    parts["b-out"] = Part(0, 0, INF)
+    assert not one.take(7, "x", 101.5), "the part went between the two"
+
+
+def test_use_is_what_is_asked_for_and_what_is_in_use_is_not_given_back() -> None:
+    parts = {"b-out": Part(1, 4, INF)}
+    one = gate(parts, OUT)
+    for _ in range(3):
+        assert one.start(7, "x", 0.0) == 0 and one.take(7, "x", 0.0)
+    use = one.uses({(7, "x"): 4, (7, ""): 2, (8, ""): 9}, 0.0)["b-out"]
+    assert use.demand == 9 and use.spare == 2
+
+
+PROMISES = [("calls", Written(Holder("m1", 5), 0b1011, 4.0)), ("out", Written(Holder("m2", 6), 1 << 90, 6.0))]
+
+
+def _old(votes: Votes) -> None:
+    content = votes.path.read_bytes()
+    votes.promise(PROMISES[:1])
+    votes.path.write_bytes(content)
+
+
+def _foreign(votes: Votes) -> None:
+    other = Votes(votes.path.parent.parent / "other", "m9", votes.witness.parent)
+    other.begin(1)
+    votes.path.write_bytes(other.path.read_bytes())
+
+
+def _flip(votes: Votes) -> None:
+    content = bytearray(votes.path.read_bytes())
+    content[-40] ^= 1
+    votes.path.write_bytes(content + b"00000000 []\n")
+
+
+def _rebooted(votes: Votes) -> None:
+    _, rest = votes.witness.read_text().split(" ", 1)
+    votes.witness.write_text("another-boot " + rest)
+
+
+@pytest.mark.parametrize(
+    ("harm", "why"),
+    [
+        (lambda votes: None, ""),
+        (lambda votes: votes.path.write_bytes(votes.path.read_bytes() + b"12345678 [\"p\""), ""),
+        (lambda votes: votes.path.unlink(), "nothing was there"),
+        (lambda votes: votes.witness.unlink(), "no witness"),
+        (_old, "an old copy"), (_foreign, "another member's folder"), (_flip, "the file is damaged"),
+        (_rebooted, "the system was started anew"),
+    ],
+)  # fmt: skip
+def test_a_folder_is_counted_on_only_where_it_is_surely_the_last_one(
+    tmp_path: Path, harm: Callable[[Votes], None], why: str
+) -> None:
+    votes = Votes(tmp_path / "state", "m1", tmp_path / "witnesses")
+    votes.begin(0)
+    votes.promise(PROMISES)
+    votes.adopted(3)
+    harm(votes)
+    votes.close()
+    again = Votes(tmp_path / "state", "m1", tmp_path / "witnesses")
+    assert again.kept == (not why) and why in again.why
+    if not why:
+        assert again.written == {"calls": [PROMISES[0][1]], "out": [PROMISES[1][1]]} and again.epoch == 3
+        again.begin(3)
+        again.promise(PROMISES[:1])
+        third = Votes(tmp_path / "state", "m1", tmp_path / "witnesses")
+        assert third.kept and len(third.written["calls"]) == 2
+
+
+def test_a_promise_that_cannot_be_written_is_told_and_the_file_stays_readable(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    votes = Votes(tmp_path / "state", "m1", tmp_path / "witnesses")
+    votes.begin(1)
+    whole = os.write
+    monkeypatch.setattr(os, "write", lambda fd, data: whole(fd, data[:20]))
+    with pytest.raises(OSError, match="no room"):
+        votes.promise(PROMISES)
+    monkeypatch.undo()
+    votes.promise(PROMISES[1:])
+    again = Votes(tmp_path / "state", "m1", tmp_path / "witnesses")
+    assert again.kept and set(again.written) == {"out"}
+
+
+def test_messages_travel_sealed_in_datagrams_of_a_bounded_size() -> None:
+    seal = Seal("fleet", ["a key of sixteen characters"])
+    every = (1 << 128) - 1
+    lines = tuple(AskLine(f"{n:032d}", n, every, 4.0, 100.0, 128.0, 1.0) for n in range(25))
+    ask = Ask("m" * 32, (1 << 62) + 1, 2, 3, 1 << 31, lines, ("x",), True)
+    parts = list(wire.close(seal, ask))
+    assert len(parts) == 3 and max(map(len, parts)) <= MOST
+    read = [wire.open_(seal, one) for one in parts]
+    assert tuple(line for one in read for line in one.lines) == lines
+    assert all(isinstance(one, Ask) and one.ended == ("x",) and one.run == ask.run for one in read)
+    said = tuple(AnswerLine(f"{n:032d}", n, every, every, 100.0, 64, (1, 2), 0.5) for n in range(10))
+    answer = Answer("m2", "m1", 7, 3, 9, said, (), "behind")
+    (data,) = wire.close(seal, answer)
+    assert len(data) <= MOST and wire.open_(seal, data) == answer
+    with pytest.raises(Refused, match="forged"):
+        wire.open_(seal, data[:-1] + bytes([data[-1] ^ 1]))
+    with pytest.raises(Refused, match="malformed"):
+        wire.open_(seal, seal.lock(b"\x93\x01", wire.HEAD))
+
+
+FILE = """
+name = "m1"
+state = "state"
+[resp]
+listen = "127.0.0.1:0"
+[fleet]
+name = "f"
+listen = "127.0.0.1:7701"
+keys = ["a key of sixteen characters"]
+[[class]]
+name = "note"
+semantics = "idempotent"
+deadline = 8
+[[next_hop]]
+id = "x"
+addr = "127.0.0.1:9"
+dest = 7
+[[member]]
+name = "m1"
+at = "127.0.0.1:7701"
+[[member]]
+name = "m2"
+at = "127.0.0.1:7702"
+[[budget]]
+name = "calls"
+kind = "rate"
+whole = 100
+burst = 30
+of = { dest = 7 }
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("dest = 7 }", "dest = 9 }", "budget[0].of.dest: no next hop has 9"),
+        ("dest = 7 }", 'endpoint = "z" }', "budget[0].of.endpoint: no next hop is 'z'"),
+        ("burst = 30", "burst = 1", "budget[0].burst: 1 is less than one call for each of 2 members"),
+        ("burst = 30", "least = 60", "budget[0].least: 60 for each of 2 members is more than 100"),
+        ("burst = 30", "period = 9", "budget[0].period: only for kind 'allowance'"),
+        ('kind = "rate"', 'kind = "sum"', "budget[0].kind: not one of rate, concurrent, allowance"),
+        ("whole = 100", "whole = -1", "budget[0].whole: 0 or more"),
+        ('name = "m2"', 'name = "m1"', "member: 'm1' stands twice"),
+        ('name = "m1"\nat', 'name = "m3"\nat', "member: 'm1', this file's name, is not among them"),
+        ("[[member]]\nname = \"m2\"", "[[member]]\nvoter = 1\nname = \"m2\"", "member[1].voter: wrong type"),
+        ("[fleet]", "[fleet]\ndrift = 0.5", "fleet.drift: 0 to 0.2"),
+        ("[fleet]", "[fleet]\nepoch = 2\nsettled = 3", "member: settled: 1 to the epoch"),
+    ],
+)  # fmt: skip
+def test_files_are_checked_with_one_line(tmp_path: Path, old: str, new: str, says: str) -> None:
+    file = tmp_path / "m1.toml"
+    file.write_text(FILE)
+    found = load(file)
+    assert found.budgets is not None and found.budgets.budgets[0].of == Of(dest=7)
+    assert old in FILE
+    file.write_text(FILE.replace(old, new, 1))
+    with pytest.raises(ConfigError) as error:
+        load(file)
+    assert str(error.value) == f"{file}: {says}"
+
+
+def test_the_table_sums_each_budget_and_says_what_is_wrong() -> None:
+    def said(name: str, part: float, whole: float = 100.0, refused: str = "") -> dict[str, object]:
+        one = {"kind": "rate", "whole": whole, "part": part, "reserve": 5.0, "leased": part - 5,
+               "lasts_s": 2.0, "demand": 9.0}  # fmt: skip
+        by = {"m9": refused} if refused else {}
+        return {"name": name, "epoch": 1, "file_epoch": 2, "refused_by": by, "budgets": {"calls": one}}
+
+    good = {"a": said("m1", 60), "b": said("m2", 40)}
+    assert sound(good) and [row[4] for row in rows(good)] == ["60", "40", "100"]
+    assert rows({**good, "c": said("m3", 0, 90.0)})[-1][3] == "90!", "files that disagree"
+    assert not sound({**good, "c": None}) and not sound({"a": said("m1", 60, refused="behind")})
+    assert not sound({"a": said("m1", 60), "b": said("m2", 41)})
--- a/tests/budgets/test_pure.py
+++ b/tests/budgets/test_pure.py
@@ -113,6 +113,8 @@
     assert lists(1, ("a",), ("a",)).fault() == "'a' stands twice"
     assert lists(1, ("a", 2)).fault() == "since: past the epoch"
     assert lists(2, ("a", 1, 2)).fault() == "nobody is listed"
+    few = lists(1, ("a",), ("b",), ("c",), ("d", 1, 9, False, False))
+    assert few.voters(1) == ("a", "b", "c") and few.at(1) == ("a", "b", "c", "d")
 
 
 def test_an_epoch_is_adopted_once_a_majority_has_left_the_one_before_last() -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
     "tests/comeback/test_processes.py": "scenes",
     "tests/lab/test_rig.py": "senders",
     "tests/comeback/test_fleets.py": "fleets",
+    "tests/budgets/test_processes.py": "budgets",
 }
 _PURE = (
     "tests/tenants/test_fleet", "tests/tenants/test_model", "tests/tenants/test_co",
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -201,6 +201,32 @@
     assert rules(*events) == [rule]
 
 
+BUDGETS = """
+[fleet]
+gossip = true
+[[budget]]
+name = "calls"
+dest = 7
+whole = 8
+burst = 4
+[[budget]]
+name = "out"
+dest = 7
+kind = "concurrent"
+whole = 3
+"""
+
+
+def test_the_oracle_holds_calls_against_fleet_wide_budgets() -> None:
+    def calls(gap: float, took: float) -> list[Event]:
+        each = [[*message(f"b{n}"), *call(n, 0.1 + n * gap, 200, took, id=f"b{n}")] for n in range(12)]
+        return sorted((one for some in each for one in some), key=lambda one: one.at)
+
+    assert rules(*calls(0.13, 0.1), text=BUDGETS) == []
+    assert rules(*calls(0.08, 0.1), text=BUDGETS)[0] == "budget", "12 in 0.88 s, where 11 may go"
+    assert rules(*calls(0.13, 0.5), text=BUDGETS)[0] == "budget", "four are out at once"
+
+
 def test_the_oracle_excuses_what_a_rule_excuses() -> None:
     killed = at(1.0, "fault", do="kill", who=["m01"], folder=["lost"])
     assert rules(*message(), killed, at(1.0, "gone", code=-9)) == [], "its folder was lost with it"
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -26,7 +26,9 @@
 FLEETS = {
     "all-lost": 10.0, "thirds": 10.0, "discovery": 18.0, "split": 12.0, "crash-loop": 9.0, "reconnect": 8.0,
 }  # fmt: skip
-_PLAYED = {"scenes": SCENES, "fleets": FLEETS}
+BUDGETS = {"kill": 18.0, "rough": 18.0}
+_PLAYED = {"scenes": SCENES, "fleets": FLEETS, "budgets": BUDGETS}
+_FOLDER = {"scenes": "comeback", "fleets": "comeback", "budgets": "budgets"}
 SENDERS = ("unchanged", *MUTANTS)
 _LIMIT = 240.0  # s that a rig may take, however slow the machine
 
@@ -65,7 +67,7 @@
             rigs = {}
             if batch in _PLAYED:
                 for name, seconds in _PLAYED[batch].items():
-                    file = EXPERIMENTS / "comeback" / f"{name}.toml"
+                    file = EXPERIMENTS / _FOLDER[batch] / f"{name}.toml"
                     rigs[name] = self._rig(file, name, seconds)
             else:
                 for name in SENDERS:
@@ -113,7 +115,8 @@
     def all(cls, batch: str) -> dict[str, Played]:
         root = RIGS.wait(batch)
         return {
-            name: cls(load(EXPERIMENTS / "comeback" / f"{name}.toml"), root / name) for name in _PLAYED[batch]
+            name: cls(load(EXPERIMENTS / _FOLDER[batch] / f"{name}.toml"), root / name)
+            for name in _PLAYED[batch]
         }
 
     def logs(self, event: str) -> list[dict[str, Any]]:
