Number asks on over a reload, refuse a file behind its folder; measure and write up budgets

Cause, found by reading the proof against the code: a budget that SIGHUP took out and another put back began its asks at 1 again, under the same run: voters would not hear them, and a late answer to an earlier ask 1 would have counted for the new one (member.py, learn). A process that starts while its predecessor still answers read the votes before the socket was free (service.py); it reads them again once it is bound.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build dev lint check test run fleet idle lab comeback
+.PHONY: build dev lint check test run fleet budgets idle lab comeback
 PY = .venv-dev/bin/python
 
 build:            ## what deploy/balancer.toml says: .venv with the pinned requirements
@@ -26,10 +26,15 @@
 run: build        ## one sender, told what it needs by GW_CONFIG, GW_STATE and the rest
 	.venv/bin/python -m mountgauge
 
-fleet:            ## a partner and three senders that count their tenants together: example/fleet
-	@cmp -s requirements-fleet.txt .venv-fleet/installed.txt || (rm -rf .venv-fleet && python3 -m venv .venv-fleet \
-	  && .venv-fleet/bin/pip -q install -r requirements-fleet.txt \
-	  && cp requirements-fleet.txt .venv-fleet/installed.txt)
+.venv-fleet/installed.txt: requirements-fleet.txt
+	rm -rf .venv-fleet && python3 -m venv .venv-fleet && .venv-fleet/bin/pip -q install -r requirements-fleet.txt \
+	  && cp requirements-fleet.txt .venv-fleet/installed.txt
+
+budgets: .venv-fleet/installed.txt  ## a partner and three senders that share its calls: example/budgets
+	@trap 'kill 0' EXIT; .venv-fleet/bin/python example/partner.py & \
+	  .venv-fleet/bin/python -m mountgauge agent example/budgets/agent.toml
+
+fleet: .venv-fleet/installed.txt  ## a partner and three senders that count their tenants together: example/fleet
 	@trap 'kill 0' EXIT; .venv-fleet/bin/python example/partner.py & \
 	  .venv-fleet/bin/python -m mountgauge agent example/fleet/agent.toml
 
--- a/mountgauge/budgets/files.py
+++ b/mountgauge/budgets/files.py
@@ -54,6 +54,17 @@
     return found, True
 
 
+def declare_new(folder: Path, name: str) -> None:
+    """An operator's word that nothing was ever promised here: the first start need not be silent. OSError
+    where something was, or where the folder cannot be written.
+    """
+    votes = Votes(folder, name)
+    if votes.path.exists():
+        raise OSError(f"{votes.path}: something was promised here before")
+    votes.begin(0)
+    votes.close()
+
+
 def _boot_id() -> str:
     try:
         return _BOOT.read_text().strip()
@@ -184,6 +195,8 @@
         """The witness: written after the file and before the answer."""
         content = f"{_boot_id()} {self.id} {self.serial}\n"
         self.witness.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
+        if self.witness.parent.stat().st_uid != os.getuid():
+            raise OSError(f"{self.witness.parent}: another user's")
         with self.witness.open("r+" if self.witness.exists() else "w") as file:
             file.write(content)
             file.truncate()
--- a/mountgauge/budgets/member.py
+++ b/mountgauge/budgets/member.py
@@ -94,6 +94,7 @@
         """`kept`: what is `written` of earlier runs is surely all of it."""
         self.name, self.run, self.membership, self.rng = name, run, membership, rng
         self.drift = membership.drift
+        self._numbers: dict[str, int] = {}  # of the last ask of budgets that the file has no more
         self.states = {
             one.name: self._state(one, now, kept, written.get(one.name, ())) for one in budgets
         }
@@ -105,7 +106,9 @@
         longest = max([budget.hold_s, *(one.hold for one in written)])
         promises = Promises.restored(budget.slices, self.drift, now, kept, written, longest)
         since = now + bounds.held_for(budget.hold_s - budget.lease_s, self.drift)
-        return _State(budget, promises, Claims(budget.lease_s, self.drift), reserve_from=since)
+        # a run's asks go on where they were: an answer to an earlier one must not count for a later one
+        claims = Claims(budget.lease_s, self.drift, self._numbers.get(budget.name, 0))
+        return _State(budget, promises, claims, reserve_from=since)
 
     # What may be acted on
 
@@ -380,7 +383,7 @@
         named = {one.name: one for one in budgets}
         for name in list(self.states):
             if name not in named:
-                del self.states[name]
+                self._numbers[name] = self.states.pop(name).claims.number
         for name, budget in named.items():
             if (state := self.states.get(name)) is None:
                 self.states[name] = self._state(budget, now, False, ())
--- a/mountgauge/budgets/service.py
+++ b/mountgauge/budgets/service.py
@@ -18,6 +18,7 @@
 from mountgauge.budgets.messages import Answer, Ask
 from mountgauge.budgets.settings import BudgetFile
 from mountgauge.budgets.shares import Kind
+from mountgauge.core.config import ConfigError
 from mountgauge.core.ports import Call
 from mountgauge.log import kv
 from mountgauge.tenants.fleet import Out, Place
@@ -36,19 +37,15 @@
     def __init__(self, file: BudgetFile, name: str, folder: Path, seal: Callable[[], Seal]) -> None:
         self.file, self.name, self._seal = file, name, seal
         self._loop = asyncio.get_running_loop()
-        now = self._loop.time()
-        self.votes = Votes(folder, name)
-        membership = Membership(name, file.lists, file.lease, file.drift, self.votes.epoch)
-        run = secrets.randbits(62) + 1
-        self.member = Member(
-            name, run, membership, file.budgets, now, random.Random(run), self.votes.kept, self.votes.written
-        )
-        self.gate = Gate(file.budgets, self._part, now)
+        self.folder, self.run = folder, secrets.randbits(62) + 1
+        self._arrive()
+        self.gate = Gate(file.budgets, self._part, self._loop.time())
         self.waiting: Callable[[], Mapping[tuple[int, str], int]] = dict
         self.release: Callable[[], None] = lambda: None
         self.tell: Callable[[Mapping[int, float]], None] = lambda parts: None
         self.send: Callable[[Out], None] = lambda out: None
         self.refused: dict[str, int] = {}  # datagrams, by reason
+        self.sent_bytes = 0
         self._started: set[Call] = set()  # calls with a place that is kept
         self._taken: set[Call] = set()
         self._offered: set[Call] = set()
@@ -58,6 +55,18 @@
         self._said: dict[str, Any] = {}
         self._told: dict[int, float] = {}
 
+    def _arrive(self) -> None:
+        """What the folder says. ConfigError where the file lags behind what this folder has seen."""
+        file = self.file
+        self.votes = Votes(self.folder, self.name)
+        if file.lists.epoch < self.votes.epoch:
+            raise ConfigError(f"fleet.epoch: {file.lists.epoch} is behind {self.votes.epoch}, seen before")
+        membership = Membership(self.name, file.lists, file.lease, file.drift, self.votes.epoch)
+        self.member = Member(
+            self.name, self.run, membership, file.budgets, self._loop.time(), random.Random(self.run),
+            self.votes.kept, self.votes.written,
+        )  # fmt: skip
+
     def _part(self, name: str, now: float) -> tuple[Part, float, int]:
         state = self.member.states[name]
         return self.member.part(name, now), self.member.whole(state, now), self.member.membership.counted
@@ -101,7 +110,10 @@
     # Running
 
     def begin(self) -> None:
-        """Before clients are let in. OSError where the folder cannot be written."""
+        """Before clients are let in, with the fleet's socket bound: an earlier process that wrote the file
+        while this one started has gone by now. OSError where the folder cannot be written.
+        """
+        self._arrive()
         self.votes.begin(self.member.membership.adopted)
         log.info("budgets", extra=kv(budgets=len(self.file.budgets), epoch=self.file.lists.epoch,
                                      members=len(self.file.lists.at(self.file.lists.epoch)),
@@ -134,6 +146,7 @@
                 self._heard(message, None)
             elif target in places:
                 out += [(data, places[target]) for data in wire.close(seal, message)]
+        self.sent_bytes += sum(len(data) for data, _ in out)
         self.send(out)
 
     def received(self, data: bytes, source: Place) -> Out:
@@ -157,7 +170,9 @@
                 self.member.hear_answer(answer, now)
         self.gate.settle(now)
         if isinstance(message, Ask) and source is not None:
-            return [(sealed, source) for sealed in wire.close(self._seal(), answer)]
+            out = [(sealed, source) for sealed in wire.close(self._seal(), answer)]
+            self.sent_bytes += sum(len(sealed) for sealed, _ in out)
+            return out
         return []
 
     def _write(self, what: Callable[[], None]) -> bool:
@@ -238,4 +253,4 @@
         for name, one in found["budgets"].items():
             one |= used.get(name, {})
         found |= {"name": self.name, "votes": self.votes.why or "kept"}
-        return found | {"datagrams_refused": dict(self.refused)}
+        return found | {"datagrams_refused": dict(self.refused), "sent_bytes": self.sent_bytes}
--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -44,6 +44,9 @@
     budgets.add_argument("address", nargs="*", default=["127.0.0.1:9100"], help="default: %(default)s")
     budgets.add_argument("--json", action="store_true", help="as one JSON object a look")
     budgets.add_argument("--watch", action="store_true", help="a table that renews itself")
+    budgets.add_argument(
+        "--new", type=Path, metavar="FILE", help="say that this file's sender never promised anything yet"
+    )
     commands.add_parser("lab", add_help=False, help="play schedules of faults on real senders")
     check = commands.add_parser(
         "check", help="read an operator's or agent's file and say what is wrong with it"
@@ -131,6 +134,19 @@
     return 0 if found["exact"] and not found["split"] and not found["conflicts"] else 1
 
 
+def _new_budgets(file: Path) -> int:
+    from mountgauge.operator_file import load
+
+    operator = load(file)
+    if operator.budgets is None:
+        raise ConfigError(f"{file}: has no [[budget]]")
+    from mountgauge.budgets.files import declare_new
+
+    declare_new(operator.config.state, operator.config.name)
+    print(f"{file}: {operator.config.name} may promise from its first start on")
+    return 0
+
+
 def _lab(rest: Sequence[str]) -> int:
     try:  # with its libraries: only where it is asked for
         from mountgauge.lab.cli import main as lab_main
@@ -176,6 +192,8 @@
 
                 return show(args.address, args.json, args.wait, args.watch)
             case "budgets":
+                if args.new is not None:
+                    return _new_budgets(args.new)
                 from mountgauge.budgets.table import show as show_budgets
 
                 return show_budgets(args.address, args.json, args.watch)
--- a/mountgauge/lab/rig/play.py
+++ b/mountgauge/lab/rig/play.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from fnmatch import fnmatch
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -111,7 +112,7 @@
         self._spawn(self._bearings())
         for load in schedule.loads:
             grade = next(one for one in schedule.grades if one.name == load.grade)
-            for name in schedule.names:
+            for name in (one for one in schedule.names if fnmatch(one, load.who)):
                 door = self.doors.setdefault(
                     (name, load.tenant),
                     Door(name, self.links.all["clients", name], self.events, user=load.tenant),
--- a/mountgauge/lab/rig/schedule.py
+++ b/mountgauge/lab/rig/schedule.py
@@ -92,6 +92,7 @@
     begin_s: float = -1e9
     until_s: float = 1e9
     tenant: str = ""
+    who: str = "*"  # a glob of the members that are offered it
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/budgets/test_fleet.py
+++ b/tests/budgets/test_fleet.py
@@ -143,6 +143,19 @@
     assert world.over == []
 
 
+def test_a_budget_that_is_taken_out_and_put_back_goes_on_with_its_asks() -> None:
+    world = settled()
+    member = world.nodes["m1"].member
+    assert member is not None
+    asked = member.states["calls"].claims.number
+    for budgets in ([OUT], [RATE, OUT]):
+        world.budgets = budgets
+        world.reload("m1")
+    assert member.states["calls"].claims.number == asked, "late answers to earlier asks count for none"
+    world.until(16, CHECK)
+    assert world.over == [] and world.use(RATE) >= 0.95
+
+
 @pytest.mark.parametrize("whole", [0, 1, 5])
 @pytest.mark.parametrize("count", [1, 2, 4])
 def test_odd_sizes(whole: int, count: int) -> None:
--- a/tests/budgets/test_parts.py
+++ b/tests/budgets/test_parts.py
@@ -4,6 +4,7 @@
 
 import math
 import os
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 
@@ -17,11 +18,14 @@
 from mountgauge.budgets.member import Part
 from mountgauge.budgets.messages import Answer, AnswerLine, Ask, AskLine
 from mountgauge.budgets.promises import Holder, Written
+from mountgauge.budgets.service import Budgets
 from mountgauge.budgets.shares import Budget, Kind, Of
 from mountgauge.budgets.table import rows, sound
+from mountgauge.cli import main
 from mountgauge.core.config import ConfigError
 from mountgauge.operator_file import load
 from mountgauge.tenants.wire import MOST, Refused, Seal
+from tests.helper import run
 
 INF = math.inf
 RATE = Budget("a-rate", Kind.RATE, 20, burst=6)
@@ -154,6 +158,37 @@
         assert third.kept and len(third.written["calls"]) == 2
 
 
+def test_an_operator_says_that_a_folder_is_new_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    file = tmp_path / "m1.toml"
+    file.write_text(FILE)
+    assert main(["budgets", "--new", str(file)]) == 0
+    assert Votes(tmp_path / "state", "m1").kept
+    assert main(["budgets", "--new", str(file)]) == 1
+    assert "something was promised here before" in capsys.readouterr().err
+
+
+def test_a_file_that_lags_behind_its_folder_is_refused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    votes = Votes(tmp_path / "state", "m1")
+    votes.begin(3)
+    votes.close()
+    file = tmp_path / "m1.toml"
+    file.write_text(FILE)
+    settings = load(file).budgets
+    assert settings is not None
+
+    async def start() -> None:
+        with pytest.raises(ConfigError, match="1 is behind 3"):
+            Budgets(settings, "m1", tmp_path / "state", lambda: Seal("f", ["a key of sixteen characters"]))
+
+    run(start())
+
+
 def test_a_promise_that_cannot_be_written_is_told_and_the_file_stays_readable(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
