Meet a tenant's quota by a budget (strict = true), and bind what is taken on for a tenant

Change: `of = { tenant = "..." }` binds take-on, in the core beside the tenants' gate, and gives back what was not taken on; [[tenant]] strict = true makes that budget of its rate and burst, and the counts go on counting.

--- a/mountgauge/budgets/gate.py
+++ b/mountgauge/budgets/gate.py
@@ -140,6 +140,31 @@
                 book.out += 1
         return True
 
+    def admit(self, tenant: str, now: float) -> float:
+        """0: a message of the tenant may be taken on, and is counted. Else s after which to come again."""
+        books = [book for book in self.books.values() if book.budget.of.tenant == tenant]
+        for book in books:
+            self._decay(book, now)
+            book.wanted += 1 / DEMAND_S
+        wait = max((self._free(book, now, 0) for book in books), default=0.0)
+        for book in books:
+            if wait > 0:
+                book.refused += 1
+            elif book.budget.kind is Kind.RATE:
+                book.level -= 1.0
+            else:
+                book.spent.append(now)
+        return wait
+
+    def give_back(self, tenant: str) -> None:
+        """What was admitted was not taken on."""
+        for book in self.books.values():
+            if book.budget.of.tenant == tenant:
+                if book.budget.kind is Kind.RATE:
+                    book.level += 1.0
+                elif book.spent:
+                    book.spent.pop()
+
     def leave(self, dest: int, endpoint: str) -> None:
         """A started call was not sent."""
         for book in self.binding(dest, endpoint):
--- a/mountgauge/budgets/service.py
+++ b/mountgauge/budgets/service.py
@@ -73,6 +73,12 @@
 
     # The core's gate
 
+    def admit(self, tenant: str) -> float:
+        return self.gate.admit(tenant, self._loop.time())
+
+    def give_back(self, tenant: str) -> None:
+        self.gate.give_back(tenant)
+
     def start(self, call: Call) -> bool:
         now, dest, hop = self._loop.time(), call.hop.entry.owner, call.hop.id
         if call not in self._offered:
--- a/mountgauge/budgets/settings.py
+++ b/mountgauge/budgets/settings.py
@@ -11,6 +11,7 @@
 from mountgauge.budgets.shares import Budget, Kind, Of
 from mountgauge.core.config import ConfigError
 from mountgauge.settings_table import Table
+from mountgauge.tenants.settings import TenantSettings
 from mountgauge.tenants.wire import MOST_NAME
 
 MOST_BUDGETS = 200
@@ -30,10 +31,13 @@
         return max((one.lease_s for one in self.budgets), default=1.0)
 
 
-def read_budgets(top: Table, me: str, dests: Collection[int], hops: Collection[str]) -> BudgetFile | None:
+def read_budgets(
+    top: Table, me: str, dests: Collection[int], hops: Collection[str], tenants: Collection[TenantSettings]
+) -> BudgetFile | None:
     """None where the file has none; ConfigError with one line on the first fault."""
     tables, members = top.tables("budget"), top.tables("member")
-    if not tables and not members:
+    strict = [one for one in tenants if one.strict is not None]
+    if not tables and not members and not strict:
         return None
     fleet = top.table("fleet")
     if fleet is None:
@@ -52,7 +56,9 @@
         raise ConfigError(f"member: {why}")
     if me not in {one.name for one in listed}:
         raise ConfigError(f"member: '{me}', this file's name, is not among them")
-    budgets = tuple(_budget(table, dests, hops) for table in tables)
+    names = {one.name for one in tenants}
+    budgets = tuple(_budget(table, dests, hops, names) for table in tables)
+    budgets += tuple(_of_tenant(one) for one in strict)
     if len(budgets) > MOST_BUDGETS:
         raise ConfigError(f"budget: {len(budgets)} are more than {MOST_BUDGETS}")
     count = len(lists.at(epoch))
@@ -60,7 +66,8 @@
         if any(one.name == other.name for other in budgets[:place]):
             raise ConfigError(f"budget[{place}].name: '{one.name}' stands twice")
         if why := shares.fault(one, count):
-            raise ConfigError(f"budget[{place}].{why}")
+            where = f"budget[{place}]" if place < len(tables) else f"tenant '{one.of.tenant}'"
+            raise ConfigError(f"{where}.{why}")
     return BudgetFile(lists, budgets, drift)
 
 
@@ -91,7 +98,16 @@
     return value
 
 
-def _budget(table: Table, dests: Collection[int], hops: Collection[str]) -> Budget:
+def _of_tenant(one: TenantSettings) -> Budget:
+    """The budget by which a strict tenant's quota is met."""
+    assert one.strict is not None
+    name = f"tenant:{one.name}"
+    if len(name) > MOST_NAME:
+        raise ConfigError(f"tenant '{one.name}': strict is for names of {MOST_NAME - 7} characters at most")
+    return Budget(name, Kind.RATE, one.strict.rate, one.strict.burst, Of(tenant=one.name))
+
+
+def _budget(table: Table, dests: Collection[int], hops: Collection[str], tenants: Collection[str]) -> Budget:
     name, kind = _name(table), table.get("kind", str)
     if kind not in list(Kind):
         raise ConfigError(f"{table.name}.kind: not one of {', '.join(Kind)}")
@@ -99,7 +115,12 @@
     of = Table(table.get("of", dict, default={}), f"{table.name}.of")
     dest = of.get("dest", int) if "dest" in of.raw else None
     endpoint = of.get("endpoint", str) if "endpoint" in of.raw else None
+    tenant = of.get("tenant", str) if "tenant" in of.raw else None
     of.done()
+    if tenant is not None and tenant not in tenants:
+        raise ConfigError(f"{table.name}.of.tenant: no tenant is '{tenant}'")
+    if tenant is not None and len(of.raw) > 1:
+        raise ConfigError(f"{table.name}.of: a tenant alone, which binds what is taken on")
     if dest is not None and dest not in dests:
         raise ConfigError(f"{table.name}.of.dest: no next hop has {dest}")
     if endpoint is not None and endpoint not in hops:
@@ -112,7 +133,7 @@
         raise ConfigError(f"{table.name}.lease: 0.5 to 86400 s")
     found = Budget(
         name, Kind(kind), whole, _number(table, "burst", max(1.0, whole)) if kind == Kind.RATE else 0.0,
-        Of(dest, endpoint), _number(table, "reserve", 0.1), _number(table, "least", 0.0),
+        Of(dest, endpoint, tenant), _number(table, "reserve", 0.1), _number(table, "least", 0.0),
         table.positive("weight", 1.0), lease, _number(table, "ends_within", 0.0),
         table.positive("period", 86_400.0),
     )  # fmt: skip
--- a/mountgauge/budgets/shares.py
+++ b/mountgauge/budgets/shares.py
@@ -31,11 +31,12 @@
 
     dest: int | None = None
     endpoint: str | None = None
+    tenant: str | None = None  # binds what is taken on for it, not calls
 
     def binds(self, dest: int, endpoint: str) -> bool:
-        return (self.dest is None or self.dest == dest) and (
-            self.endpoint is None or self.endpoint == endpoint
-        )
+        """Whether it binds a call."""
+        same_dest = self.dest is None or self.dest == dest
+        return same_dest and self.tenant is None and (self.endpoint is None or self.endpoint == endpoint)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,8 @@
     least = math.ceil(budget.least) if budget.whole_units else budget.least
     if least * members > budget.whole:
         return f"least: {budget.least:g} for each of {members} members is more than {budget.whole:g}"
+    if budget.of.tenant is not None and budget.kind is Kind.CONCURRENT:
+        return "of.tenant: for what is taken on, which is not out: kind 'rate' or 'allowance'"
     if budget.kind is Kind.RATE and budget.burst < members:
         return f"burst: {budget.burst:g} is less than one call for each of {members} members"
     return ""
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -128,6 +128,12 @@
 class CallGate(Protocol):
     """Places of fleet-wide budgets for calls: a call without one waits, and never sends a byte."""
 
+    def admit(self, tenant: str) -> float:
+        """0: a message of the tenant may be taken on. Else s after which to come again."""
+
+    def give_back(self, tenant: str) -> None:
+        """What was admitted was not taken on."""
+
     def start(self, call: Call) -> bool:
         """Whether it may look for its connection now; else it is asked again at `Sender.release`."""
 
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -329,6 +329,11 @@
         elif self.gate is not None and (again := self.gate.admit(one.tenant, now)) is not None:
             self.counts["refused", "quota"] += 1
             one.answer(End(Status.DEFERRED, math.ceil(again * 1000)))
+        elif self.call_gate is not None and (wait := self.call_gate.admit(one.tenant)) > 0:
+            if self.gate is not None:
+                self.gate.give_back(one.tenant)
+            self.counts["refused", "budget"] += 1
+            one.answer(End(Status.DEFERRED, math.ceil(min(wait, self.rules.max_retry_after) * 1000)))
         else:
             expires = now + one.left
             wall = self.clock.wall() + one.left
@@ -381,6 +386,8 @@
             self._drop(held)
             if self.gate is not None:
                 self.gate.give_back(submission.tenant)
+            if self.call_gate is not None:
+                self.call_gate.give_back(submission.tenant)
             self.counts["refused", end.status.value] += 1
             submission.answer(end)
 
--- a/mountgauge/lab/rig/files.py
+++ b/mountgauge/lab/rig/files.py
@@ -52,7 +52,7 @@
             f'keys = ["{KEY}"]',
             f"interval = {fleet.gossip_interval_s}",
         ]
-    if schedule.budgets:
+    if schedule.budgets or any(one.strict for one in schedule.tenants):
         for number, (member, (at, port)) in enumerate(members):
             text += ["[[member]]", f'name = "{member}"', f'at = "{at}:{port}"']
             if fleet.voters and number >= fleet.voters:
@@ -72,6 +72,7 @@
             f'name = "{tenant.name}"',
             f"rate = {tenant.rate}",
             f"burst = {tenant.burst}",
+            f"strict = {str(tenant.strict).lower()}",
             f'users = {{ {tenant.name} = "{tenant.name}" }}',
         ]
     for grade in schedule.grades:
--- a/mountgauge/lab/rig/schedule.py
+++ b/mountgauge/lab/rig/schedule.py
@@ -100,6 +100,7 @@
     name: str
     rate: float
     burst: float
+    strict: bool = False  # met by a fleet-wide budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +212,7 @@
     loads = tuple(_fill(Load, table) for table in top.tables("load"))
     tenants = tuple(_fill(Tenant, table) for table in top.tables("tenant"))
     budgets = tuple(_fill(BudgetOf, table) for table in top.tables("budget"))
-    if budgets and not fleet.gossip:
+    if (budgets or any(one.strict for one in tenants)) and not fleet.gossip:
         raise ConfigError("budget: needs fleet.gossip = true")
     faults = tuple(_fault(table, place, fleet) for place, table in enumerate(top.tables("fault")))
     if not partners:
--- a/mountgauge/operator_file.py
+++ b/mountgauge/operator_file.py
@@ -116,7 +116,7 @@
     enabled = bool(comeback.get("enabled", bool, default=True))
     settings["extra"]["ramp"] = enabled
     disk -= COMEBACK_ROOM if enabled else 0
-    budgets = _budgets(top, name, hops)
+    budgets = _budgets(top, name, hops, tenants)
     if budgets is not None:
         if tenants is None or tenants.fleet is None:
             raise ConfigError("budget: needs [fleet]")
@@ -172,15 +172,16 @@
     return read_tenants(top)
 
 
-def _budgets(top: Table, name: str, hops: Hops) -> BudgetFile | None:
-    if not {"budget", "member"} & set(top.raw):
+def _budgets(top: Table, name: str, hops: Hops, tenants: TenantFile | None) -> BudgetFile | None:
+    named = tenants.tenants if tenants is not None else ()
+    if not {"budget", "member"} & set(top.raw) and all(one.strict is None for one in named):
         return None
     try:  # with its libraries: only where it is asked for
         from mountgauge.budgets.settings import read_budgets
     except ModuleNotFoundError as error:
         raise ConfigError(f"budget: {error.name} is missing: see requirements-fleet.txt") from None
     dests = {hop.entry.owner for hop in hops.update.hops}
-    return read_budgets(top, name, dests, set(hops.protocols))
+    return read_budgets(top, name, dests, set(hops.protocols), named)
 
 
 def _disk_for(tenants: TenantFile) -> int:
--- a/mountgauge/tenants/settings.py
+++ b/mountgauge/tenants/settings.py
@@ -33,6 +33,7 @@
     name: str
     quota: Quota | None  # None: counted, never turned away
     users: Mapping[str, User]
+    strict: Quota | None = None  # the quota is a fleet-wide budget's, not counted by gossip
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,11 +91,15 @@
         for key in ("burst", "split"):
             if key in table.raw:
                 raise ConfigError(f"{table.name}.{key}: needs a rate")
+    strict = bool(table.get("strict", bool, default=False))
+    if strict and quota is None:
+        raise ConfigError(f"{table.name}.strict: needs a rate")
     users = table.get("users", dict, default={})
     if not all(isinstance(word, str) and word for word in users.values()):
         raise ConfigError(f"{table.name}.users: passwords are text, not empty")
     table.done()
-    return TenantSettings(name, quota, {user: User(word, name) for user, word in users.items()})
+    named = {user: User(word, name) for user, word in users.items()}
+    return TenantSettings(name, None if strict else quota, named, quota if strict else None)
 
 
 def _fleet(table: Table) -> FleetSettings:
--- a/tests/budgets/test_parts.py
+++ b/tests/budgets/test_parts.py
@@ -102,6 +102,16 @@
     assert use.demand == 9 and use.spare == 2
 
 
+def test_what_is_taken_on_for_a_tenant_is_bound_and_given_back() -> None:
+    mine = Budget("t", Kind.RATE, 20, burst=6, of=Of(tenant="rossi"))
+    one = gate({"t": Part(2, 0, INF)}, mine)
+    assert one.admit("verdi", 0.0) == 0 and one.start(7, "x", 0.0) == 0, "another's, and calls, are free"
+    assert one.admit("rossi", 0.0) == 0.5 and one.admit("rossi", 0.5) == 0
+    assert one.admit("rossi", 0.5) > 0
+    one.give_back("rossi")
+    assert one.admit("rossi", 0.5) == 0 and one.uses({}, 0.5)["t"].demand > 1
+
+
 PROMISES = [("calls", Written(Holder("m1", 5), 0b1011, 4.0)), ("out", Written(Holder("m2", 6), 1 << 90, 6.0))]
 
 
@@ -264,6 +274,10 @@
         ("burst = 30", "burst = 1", "budget[0].burst: 1 is less than one call for each of 2 members"),
         ("burst = 30", "least = 60", "budget[0].least: 60 for each of 2 members is more than 100"),
         ("burst = 30", "period = 9", "budget[0].period: only for kind 'allowance'"),
+        ("dest = 7 }", 'tenant = "t" }', "budget[0].of.tenant: no tenant is 't'"),
+        ("[[class]]", '[[tenant]]\nname = "t"\nstrict = true\n[[class]]', "tenant[0].strict: needs a rate"),
+        ("[[class]]", '[[tenant]]\nname = "t"\nstrict = true\nrate = 1\n[[class]]',
+         "tenant 't'.burst: 1 is less than one call for each of 2 members"),
         ('kind = "rate"', 'kind = "sum"', "budget[0].kind: not one of rate, concurrent, allowance"),
         ("whole = 100", "whole = -1", "budget[0].whole: 0 or more"),
         ('name = "m2"', 'name = "m1"', "member: 'm1' stands twice"),
