--- a/mountgauge/budgets/gate.py
+++ b/mountgauge/budgets/gate.py
@@ -85,18 +85,25 @@
         return [self.books[name] for name in sorted(found)]
 
     def settle(self, now: float) -> None:
-        """Bring all accounts up to now, and look at the parts anew."""
+        """Bring all accounts up to now, and look at the parts anew: on both sides of what may change them."""
         for book in self.books.values():
             self._fill(book, now)
+            self._look(book, now)
+
+    def _look(self, book: _Book, now: float) -> None:
+        book.part, book.whole, book.members = self._part(book.budget.name, now)
+        most = shares.burst_of(book.budget, book.part.whole, book.whole, book.members)
+        book.level = min(book.level, most if book.part.whole > 0 else 0.0)
 
     def _fill(self, book: _Book, now: float) -> None:
-        """Bring the level up to now, by the part that held meanwhile, and look at the part anew."""
+        """Bring the level up to now, by the part that held meanwhile; a lease that is over is no part."""
         span = max(0.0, min(now, book.part.until) - book.at)
         book.level += book.part.whole * span
         if now >= book.part.until:  # what its lease left; the reserve went on
             book.level += book.part.reserve * max(0.0, now - max(book.at, book.part.until))
         book.at = max(book.at, now)
-        book.part, book.whole, book.members = self._part(book.budget.name, now)
+        if now >= book.part.until:
+            self._look(book, now)
         most = shares.burst_of(book.budget, book.part.whole, book.whole, book.members)
         book.level = min(book.level, most if book.part.whole > 0 else 0.0)
 
--- a/mountgauge/budgets/membership.py
+++ b/mountgauge/budgets/membership.py
@@ -93,6 +93,8 @@
     adopted: int = 0
     heard: dict[str, dict[int, float]] = field(default_factory=dict)  # by member, epoch: since when past it
     ended: set[str] = field(default_factory=set)
+    _counted: int = 0  # 0: to be counted anew
+    _reserve: bool = False  # it was found that the reserve may be used, by this file
 
     def __post_init__(self) -> None:
         self.adopted = self.sure
@@ -107,6 +109,7 @@
     def hear_ended(self, names: Collection[str]) -> None:
         removed = {one.name for one in self.lists.members if one.until <= self.lists.epoch}
         self.ended |= removed & set(names)
+        self._counted = 0
 
     def step(self, now: float) -> bool:
         """Adopt the file's epoch where that may be; whether it was adopted just now."""
@@ -135,11 +138,17 @@
     @property
     def counted(self) -> int:
         """By how many a reserve is divided."""
-        now = set(self.lists.at(self.lists.epoch))
-        left = {one.name for one in self.lists.members if one.until <= self.lists.epoch}
-        return len(now | (left - self.ended))
+        if not self._counted:
+            now = set(self.lists.at(self.lists.epoch))
+            left = {one.name for one in self.lists.members if one.until <= self.lists.epoch}
+            self._counted = len(now | (left - self.ended))
+        return self._counted
 
     def may_use_reserve(self) -> bool:
+        self._reserve = self._reserve or self._find_reserve()
+        return self._reserve
+
+    def _find_reserve(self) -> bool:
         mine = next((one for one in self.lists.members if one.name == self.me), None)
         if mine is None or not self.listed:
             return False
@@ -160,7 +169,7 @@
         for one in lists.members:
             if votes.get(one.name, one.voter) != one.voter:
                 return f"'{one.name}' voted otherwise: remove it, and add it under another name"
-        self.lists = lists
+        self.lists, self._counted, self._reserve = lists, 0, False
         self.ended |= {one.name for one in lists.members if one.ended}
         return ""
 
--- a/mountgauge/budgets/service.py
+++ b/mountgauge/budgets/service.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import secrets
+import time
 from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
@@ -46,9 +47,11 @@
         self.send: Callable[[Out], None] = lambda out: None
         self.refused: dict[str, int] = {}  # datagrams, by reason
         self.sent_bytes = 0
+        self.busy_s = 0.0  # that asks, answers and looks at parts have taken
         self._started: set[Call] = set()  # calls with a place that is kept
         self._taken: set[Call] = set()
         self._offered: set[Call] = set()
+        self._shut: dict[tuple[int, str], float] = {}  # until when no call there need ask again
         self._timer: asyncio.TimerHandle | None = None
         self._wake: asyncio.TimerHandle | None = None
         self._failed = False
@@ -84,16 +87,20 @@
         if call not in self._offered:
             self._offered.add(call)
             self.gate.offered(dest, hop, now)
+        if now < self._shut.get((dest, hop), 0.0):
+            return False
         wait = self.gate.start(dest, hop, now)
         if wait <= 0:
             self._started.add(call)
             return True
+        self._shut[dest, hop] = now + min(wait, TICK_S)
         if wait < TICK_S and self._wake is None:
             self._wake = self._loop.call_later(wait, self._woken)
         return False
 
     def _woken(self) -> None:
         self._wake = None
+        self._shut.clear()
         self.release()
 
     def take(self, call: Call) -> bool:
@@ -129,7 +136,7 @@
 
     def _tick(self) -> None:
         self._timer = self._loop.call_later(TICK_S, self._tick)
-        now = self._loop.time()
+        began, now = time.perf_counter(), self._loop.time()
         uses = self.gate.uses(self.waiting(), now)
         epoch = self.member.membership.adopted
         asks = self.member.tick(now, uses)
@@ -141,8 +148,10 @@
         if self.votes.full:
             self._write(lambda: self.votes.rewrite(self.member.records(now)))
         self._tell(now)
-        self.release()
         self._look(now)
+        self.busy_s += time.perf_counter() - began
+        self._shut.clear()
+        self.release()
 
     def _send(self, messages: Iterable[tuple[str, Ask | Answer]]) -> None:
         places, seal = self.member.membership.places(), self._seal()
@@ -157,11 +166,14 @@
 
     def received(self, data: bytes, source: Place) -> Out:
         """A datagram; the answer goes back to where it came from."""
+        began = time.perf_counter()
         try:
             return self._heard(wire.open_(self._seal(), data), source)
         except Refused as error:
             self.refused[str(error)] = self.refused.get(str(error), 0) + 1
             return []
+        finally:
+            self.busy_s += time.perf_counter() - began
 
     def _heard(self, message: Ask | Answer, source: Place | None) -> Out:
         now = self._loop.time()
@@ -259,4 +271,5 @@
         for name, one in found["budgets"].items():
             one |= used.get(name, {})
         found |= {"name": self.name, "votes": self.votes.why or "kept"}
-        return found | {"datagrams_refused": dict(self.refused), "sent_bytes": self.sent_bytes}
+        return found | {"datagrams_refused": dict(self.refused), "sent_bytes": self.sent_bytes,
+                        "busy_s": round(self.busy_s, 4)}  # fmt: skip
--- a/tests/budgets/test_parts.py
+++ b/tests/budgets/test_parts.py
@@ -90,6 +90,7 @@
     assert one.start(7, "x", 4.2) > 0 and one.start(7, "y", 4.2) == 0, "three of three a day, of `x` alone"
     assert one.start(7, "x", 101.5) == 0, "the first has left the period"
     parts["b-out"] = Part(0, 0, INF)
+    one.settle(101.5)
     assert not one.take(7, "x", 101.5), "the part went between the two"
 
 
