--- a/mountgauge/lab/rig/play.py
+++ b/mountgauge/lab/rig/play.py
@@ -35,6 +35,7 @@
 from mountgauge.lab.rig.weather import Weather
 
 _BEARS_EVERY = 0.05  # s between two records of what a partner bears
+_LAG_S = 0.02  # s by which the rig's own loop may be late without a record of it
 _KEPT_LINES = (
     "phase", "full-service", "held-up", "stale", "remembered", "life", "ready", "restored", "budget",
     "paused", "folder",
@@ -178,10 +179,14 @@
             self.events.add("rig-error", error=str(error))
 
     async def _bearings(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             for partner in self.partners.values():
                 partner.log_bearing()
+            due = loop.time() + _BEARS_EVERY
             await asyncio.sleep(_BEARS_EVERY)
+            if (late := loop.time() - due) > _LAG_S:  # what the stand-ins saw is that much late
+                self.events.add("lag", late_s=round(late, 3))
 
     # The play
 
--- a/tests/comeback/test_fleets.py
+++ b/tests/comeback/test_fleets.py
@@ -36,6 +36,15 @@
     assert {line["member"] for line in one.logs("full-service") if line["at"] > 0} == set(one.schedule.names)
 
 
+def test_a_fleet_that_is_killed_again_while_it_ramps_refuses_little(played: dict[str, Played]) -> None:
+    """Without the ramp a quarter to a third of the calls are refused."""
+    one = played["again-while-ramping"]
+    answers = one.statuses(0.5, 10)
+    assert answers[503] <= 0.15 * answers.total() and answers[200] > 300
+    killed = {name for event in one.events if event.kind == "fault" for name in event.fields.get("who", ())}
+    assert {line["member"] for line in one.logs("full-service") if line["at"] > 0} == killed
+
+
 def test_thirds_of_folders_are_told_apart_by_what_peers_remember(played: dict[str, Played]) -> None:
     one = played["thirds"]
     names = one.schedule.names[:9]
