--- a/mountgauge/lab/rig/events.py
+++ b/mountgauge/lab/rig/events.py
@@ -19,7 +19,8 @@
     offer, taken, refused, failed, unheard: a message at a member's door (`member`, `id`, `key`, `grade`,
     `dest`, `left`); call, answer, broken: a delivery attempt at an endpoint (`call` numbers it); notice:
     the end that the platform was told; told: a list was written to a member; list-call; fault; start,
-    ready, gone: a process; lag: the rig's own loop was late, so that calls came in a clump; log: a line of a member's log; bears: what a partner bears now.
+    ready, gone: a process; lag: the rig's own loop was late, so that calls came in a clump; log: a line of
+    a member's log; bears: what a partner bears now.
     """
 
     at: float
