--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -188,7 +188,14 @@
             self._finish(out, {})
             return
         out.going = going
-        left = max(1, math.floor((call.give_up_at - asyncio.get_running_loop().time()) * 1000))
+        # One answer ends them all, so none is waited for past the time of another.
+        loop = asyncio.get_running_loop()
+        first = min(item.expires for item in going)
+        if first < call.give_up_at:
+            call.give_up_at = first
+            out.timer.cancel()
+            out.timer = loop.call_at(first, self._give_up, call)
+        left = max(1, math.floor((call.give_up_at - loop.time()) * 1000))
         host = f"{call.hop.host}:{call.hop.port}"
         headers = {"X-Expires-In-Ms": str(left)}
         if len(going) == 1:
