Shut a client's connection in order: no close over unread bytes, on either front

At fault: ClientConnection._end used a plain close unless a Drain stood; eof_received gave the answers up where one did; Front.joined took the victim out of its line (Seats.left) before ClientConnection.displace asked where it stood; AmqpConnection._part closed and left its state READY, so frames that were already read went on to be taken.

Change: the states OPEN, ANSWERING, SHUT, CLOSED (`Closing`), moved on by `_leave` alone: hear nothing more, answer what was asked, shut the sending side, read and throw away until the client ends or LINGER, close. Of connections without a place no more than 16 may linger; past them what has come is read, and the close follows at once. AMQP's last frame is followed by the same. The model test of a connection asserted the plain close: it now asserts the shut sending side and no close, as strict, and goes on to send requests behind it, which must not be taken on.

--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -24,7 +24,6 @@
 from mountgauge.holding.seats import Bounds, Line
 from mountgauge.holding.settings import default_settings
 from mountgauge.holding.turns import GOLDEN, RESTED
-from mountgauge.sockets import LINGER
 from rillspindle.interface import Grade
 
 KEY_HEADER = "idempotency-key"
@@ -182,11 +181,12 @@
         )
 
     def _part(self) -> None:
-        """Close, once what was written has left: in a bounded time."""
-        if self.transport is not None:
-            self._closing_by = self._front.keeper.now() + LINGER
-            self.arm(self._closing_by)
-            self.transport.close()
+        """The last frame is written: what still comes is passed over until the peer ends, or LINGER."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.state = State.CLOSING
+            self.hear_no_more()
+            self.transport.resume_reading()
+            self.transport.write_eof()
 
     # Back-pressure: a client that does not read its answers is not read
 
--- a/mountgauge/clients.py
+++ b/mountgauge/clients.py
@@ -5,12 +5,14 @@
 import asyncio
 import math
 from collections.abc import Callable, Sequence
+from enum import IntEnum
 from typing import cast
 
 from mountgauge.access import DEFAULT, Access
 from mountgauge.core.ports import Answer, Status, Submission, Taken
 from mountgauge.holding.front import Front
 from mountgauge.holding.keeper import Keeper
+from mountgauge.holding.line import Line as Held
 from mountgauge.holding.seats import Bounds, Line
 from mountgauge.holding.settings import platform_settings
 from mountgauge.holding.turns import QUANTUM, RESTED
@@ -127,15 +129,29 @@
         self.content: bytes | None = None
 
 
+class Closing(IntEnum):
+    """How far the end of a client's connection has come; `ClientConnection._leave` alone moves it on.
+
+    A request read past OPEN is neither taken on nor answered: its client sees the sending side shut behind
+    the last answer, and sends it again. With bytes left unread the close would be a reset, which may take
+    the last answers with it; so what comes is read and thrown away until the client has ended as well.
+    """
+
+    OPEN = 0  # requests are heard
+    ANSWERING = 1  # nothing more is heard; what was asked before is still answered
+    SHUT = 2  # all is said, the sending side is shut; it is read from until the client ends, or LINGER
+    CLOSED = 3
+
+
 class ClientConnection(asyncio.BufferedProtocol):
-    """READING while requests are answered in turn, PAUSED past a bound, CLOSING, then CLOSED.
+    """Requests are answered in turn, and not read past a bound; its end goes through the states of `Closing`.
 
     With nothing asked it keeps no parser and no place for answers: some 300 bytes are all there is of it.
     """
 
     __slots__ = (
         "_bad", "_choked", "_clients", "_drain", "_half_at", "_more", "_parser", "_paused", "_slots",
-        "_transport", "_within", "closed", "closing", "due_at", "greeted", "handed_in", "line", "since",
+        "_stage", "_transport", "_within", "due_at", "greeted", "handed_in", "heard_end", "line", "since",
         "tenant", "tick", "user", "woken",
     )  # fmt: skip
 
@@ -150,7 +166,8 @@
         self._drain: Drain | None = None  # once nothing more is heard
         self._bad = 0
         self._half_at = FAR  # when the command began that is not whole
-        self.closing = self.closed = False
+        self._stage = Closing.OPEN
+        self.heard_end = False  # the client has shut its sending side: nothing is left to be read
         self.tenant = ""  # of the user who logged in; none yet
         self.handed_in = 0  # messages
         self.greeted = False  # a whole command has come
@@ -160,6 +177,14 @@
         self.since, self.user = 0.0, ""
         self.due_at, self.tick = FAR, -1
 
+    @property
+    def closing(self) -> bool:
+        return self._stage is not Closing.OPEN
+
+    @property
+    def closed(self) -> bool:
+        return self._stage is Closing.CLOSED
+
     @property
     def parked(self) -> bool:
         return not self._slots and self._parser is None
@@ -280,18 +305,48 @@
         if self.closing or self._transport is None:
             return
         self._slots.append(slot := Slot())
-        self.closing = True
-        self._parser, self._half_at = None, FAR
-        self._clients.holds(self, 0)
-        self._drain = Drain(self._transport)
-        if self._paused and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._leave()
         self._fill(slot, f"-{code} {why}\r\n".encode())
 
+    def _leave(self) -> None:
+        """The one way from OPEN to the end: hear nothing more, say what is owed, shut, read on, close."""
+        transport = self._transport
+        if transport is None:
+            return
+        if self._stage is Closing.OPEN:
+            self._stage = Closing.ANSWERING
+            self._parser, self._half_at = None, FAR
+            self._clients.holds(self, 0)
+            if not self.heard_end and not transport.is_closing():
+                self._drain = Drain(transport)
+                if self._paused:
+                    transport.resume_reading()
+        if self._stage is Closing.ANSWERING and not self._slots:
+            self._stage = Closing.SHUT
+            self._clients.stand(self, Line.LEAVING)
+            keeper = self._clients.keeper
+            keeper.arm(self, keeper.now() + LINGER)
+            if transport.is_closing():
+                return
+            if self.heard_end:
+                transport.close()
+            elif self._clients.may_linger():
+                transport.write_eof()
+            else:  # descriptors are short: what is there is read, what is on its way is not waited for
+                self._drop()
+
+    def _drop(self) -> None:
+        transport = self._transport
+        if transport is not None:
+            transport.write_eof()
+            if isinstance(transport, Held):
+                transport.discard()
+            transport.close()
+
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends too many requests, is not read."""
         hold = len(self._slots) >= _MOST_WAITING or self._choked or self._more
-        if self._transport is None or self._transport.is_closing() or hold == self._paused or self._drain:
+        if self._transport is None or self._transport.is_closing() or hold == self._paused or self.closing:
             return
         self._paused = hold
         if hold:
@@ -328,21 +383,8 @@
                     self._clients.stand(self, self.rank)
                     self._watch()
             self._transport.write(ready)
-            if not slots and self._clients.letting_go and not self.closing:
-                self.close()  # a lame duck: its client goes elsewhere
-            elif not slots and self.closing:
-                self._end()
-
-    def _end(self) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        self._clients.stand(self, Line.LEAVING)
-        keeper = self._clients.keeper
-        keeper.arm(self, keeper.now() + LINGER)
-        if self._drain is not None:
-            self._transport.write_eof()
-        else:
-            self._transport.close()
+            if not slots and (self.closing or self._clients.letting_go):
+                self._leave()  # or it is a lame duck, whose client goes elsewhere
 
     def answer(self, slot: Slot, content: bytes) -> None:
         self._fill(slot, content)
@@ -356,9 +398,7 @@
 
     def close(self) -> None:
         """Once what was asked is answered; between requests a sender may close."""
-        self.closing = True
-        if not self._slots:
-            self._end()
+        self._leave()
 
     def displace(self) -> None:
         if Line.RESTING <= self.line < Line.LEAVING:
@@ -368,24 +408,20 @@
 
     def turn_away(self, again_ms: int) -> None:
         """No descriptor to spare: handing in again is harmless."""
-        self.closing = True
-        if self._transport is not None:
-            self._transport.write(b"-BUSY %d\r\n" % again_ms)
-            self._transport.close()
+        self.say(b"-BUSY %d\r\n" % again_ms)
+        self._leave()
 
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
     def eof_received(self) -> bool:
-        self.closing = True
-        if not self._slots:
-            keeper = self._clients.keeper
-            keeper.arm(self, keeper.now() + LINGER)  # for what it has not read yet
-        return bool(self._slots) and self._drain is None  # the answers still go out
+        self.heard_end, self._drain = True, None
+        self._leave()
+        return bool(self._slots)  # the answers still go out
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closed = self.closing = True
+        self._stage = Closing.CLOSED
         self._parser = self._transport = None
         self._drain = None
         self._clients.left(self)
--- a/mountgauge/holding/front.py
+++ b/mountgauge/holding/front.py
@@ -12,6 +12,8 @@
 from mountgauge.holding.seats import Bounds, Line, Refusal, Seats
 from mountgauge.holding.settings import Times
 
+LINGERING = 16  # connections without a place that may be read on from: of the spare descriptors
+
 
 class Client(Kept, Protocol):
     """A connection as its front sees it."""
@@ -64,8 +66,9 @@
                 return False
             resting = Line.RESTING <= victim.line < Line.LEAVING
             self.counts["clients", "displaced-resting" if resting else "displaced"] += 1
+            self.seats.give_up(victim)
+            victim.displace()  # by where it stands still: one that rests is shut in order
             self.seats.left(victim)
-            victim.displace()
         self.seats.join(connection, now)
         self.keeper.arm(connection, now + self.times.handshake)
         return True
@@ -82,9 +85,15 @@
 
     def stand(self, connection: C, line: int) -> None:
         """It has begun or ended to ask for something, or is going."""
-        if connection in self.seats.members or line == Line.LEAVING:
+        if connection in self.seats.members:  # one displaced or turned away has no place any more
             self.seats.stand(connection, line, self.keeper.now())
 
+    def may_linger(self) -> bool:
+        """Whether one that goes may keep its descriptor until its peer has ended as well: those of a flood,
+        which have no place, may take a few of the spare ones and no more.
+        """
+        return self.keeper.open <= self.keeper.settings.most + LINGERING
+
     def left(self, connection: C) -> None:
         self.seats.left(connection)
         self.keeper.forget(connection)
--- a/mountgauge/holding/line.py
+++ b/mountgauge/holding/line.py
@@ -16,6 +16,7 @@
 
 log = logging.getLogger("mountgauge.holding")
 
+_SINK, _SINKS = 256 * 1024, 4  # bytes thrown away at once, and how often
 _IN, _OUT = select.EPOLLIN, select.EPOLLOUT
 
 
@@ -92,6 +93,15 @@
         if self._out is None:
             self._shut()
 
+    def discard(self) -> None:
+        """Throw away what has come: a close over unread bytes is a reset, which the peer may hear first."""
+        try:
+            for _ in range(_SINKS):
+                if not os.read(self.fd, _SINK):
+                    return
+        except OSError:
+            pass  # nothing more there, or it is gone already
+
     def close(self) -> None:
         if not self._closing:
             self._closing = True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -133,7 +133,7 @@
             while waiting and waiting[0][1] is not None:
                 wanted += waiting.popleft()[1] or b""
             assert bytes(transport.written) == wanted
-            assert transport.closing == (closing and not waiting)
+            assert transport.ended == (closing and not waiting) and not transport.closing
             assert len(taken) - last <= 64  # the bound on what one connection may have waiting
             assert transport.reading == (not choked and len(waiting) < 64) or closing
 
