--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -341,8 +341,8 @@
 class Client:
     """One kept connection to one address, for exchanges that follow one another."""
 
-    def __init__(self, host: str, port: int, most_body: int = 1 << 20) -> None:
-        self.host, self.port, self._most = host, port, most_body
+    def __init__(self, host: str, port: int, most_body: int = 1 << 20, rest: float | None = None) -> None:
+        self.host, self.port, self._most, self._rest = host, port, most_body, rest
         self._connection: Connection | None = None
 
     def close(self) -> None:
@@ -362,7 +362,7 @@
             self.close()
             async with asyncio.timeout(connect_limit):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._forget, self._most), self.host, self.port
+                    lambda: Connection(self._forget, self._most, self._rest), self.host, self.port
                 )
             self._connection = connection
         answer: asyncio.Future[Message] = loop.create_future()
--- a/mountgauge/transport_map.py
+++ b/mountgauge/transport_map.py
@@ -18,6 +18,7 @@
 _MOST_LIST = 8 << 20  # bytes
 _SILENCE = 1.5  # s past the asked wait after which a watch that says nothing is given up
 _LIST_LIMIT = 3.0  # s for a call that does not wait
+_REST = 2.0  # s in which an answer that has begun must be whole: what it misses counts as told 6 s after it
 _MOVING = 4.0  # s after a move in which the list of the new address must hold: no back-off meanwhile
 _MOVE_LIMIT, _MOVE_PAUSE = 1.2, 0.1  # s for a call then, and between two
 _AT_ONCE = 0.05  # s: a watch that is answered sooner did not wait for news
@@ -33,26 +34,45 @@
 
 
 class TransportMap:
-    """Watches while told to; on a failure it reports, and the module says when to watch again."""
+    """Watches while told to; on a failure it reports, and the module says when to watch again.
+
+    `_task` is the one watch that stands, or None. Whoever ends it takes it from there in the same step
+    (`_stop`), and a task that was ended never comes back from its `await`, so no other one is ever forgotten
+    for it, and none hears an answer that was meant for the one before.
+    """
 
     def __init__(self, owner: MapOwner, address: Address, names: Names, wait: float) -> None:
         self._owner, self._address, self._names = owner, address, names
         self._wait = wait
-        self._client = Client(address.host, address.port, most_body=_MOST_LIST)
+        self._client = self._client_of(address)
         self._task: asyncio.Task[None] | None = None
-        self._whole = False
+        self._whole = False  # the next call asks for the whole list
+        self._asks_whole = False  # the call that is out does
         self._moved_at = -math.inf
         self._same = 0  # watches in a row that were answered at once with nothing newer
 
+    @staticmethod
+    def _client_of(address: Address) -> Client:
+        return Client(address.host, address.port, most_body=_MOST_LIST, rest=_REST)
+
     def watch(self, on: bool) -> None:
-        running = self._task is not None and not self._task.done()
-        if on and not running:
+        if not on:
+            self._stop()
+        elif self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
-        elif not on and self._task is not None:
-            self._task.cancel()
+
+    def _stop(self) -> None:
+        """End the watch that stands, its connection too: what was asked on it is nobody's any more."""
+        task, self._task, self._asks_whole = self._task, None, False
+        if task is not None:
+            task.cancel()
+            self._client.close()
 
     def snapshot(self) -> None:
-        self._whole = True  # the next call asks for the whole list
+        """The whole list, now: a watch that is out may wait long for news."""
+        self._whole = True
+        if not self._asks_whole:
+            self._stop()
         self.watch(True)
 
     def look_now(self) -> bool:
@@ -62,14 +82,12 @@
 
     def move(self, address: Address) -> None:
         """Another address from now on: its whole list is asked for at once, whatever the old one did."""
-        self._address = address
+        self._stop()
         self._client.close()
-        self._client = Client(address.host, address.port, most_body=_MOST_LIST)
+        self._address, self._client = address, self._client_of(address)
         self._whole = True
         self._moved_at = asyncio.get_running_loop().time()
-        if self._task is not None:
-            self._task.cancel()
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self.watch(True)
 
     def close(self) -> None:
         self.watch(False)
@@ -78,7 +96,8 @@
     async def _run(self) -> None:
         while True:
             path, limit = "/registry/instances", _LIST_LIMIT
-            if self._owner.version >= 0 and not self._whole:
+            self._asks_whole = self._whole or self._owner.version < 0
+            if not self._asks_whole:
                 path += f"?index={self._owner.version}&wait={int(self._wait * 1000)}"
                 limit = self._wait + _SILENCE
             moving = asyncio.get_running_loop().time() - self._moved_at < _MOVING
@@ -90,19 +109,25 @@
                 if message.status != 200:
                     raise ValueError(f"status {message.status}")
                 update = self._names.update(orjson.loads(message.body))
-            except (OSError, ValueError) as error:  # TimeoutError is an OSError
-                log.warning("watch-failed", extra=kv(error=f"{type(error).__name__}: {error}"))
+                self._whole = self._asks_whole = False
+                if update.hops or update.full:
+                    changed = len(update.hops)
+                    log.info("map", extra=kv(version=update.version, full=update.full, changed=changed))
+                self._owner.list_changed(update)
+            except Exception as error:  # whatever an answer sets off, the watch does not end with it
+                if self._task is not asyncio.current_task():
+                    return  # it was ended from within, and another one stands
+                expected = isinstance(error, (OSError, ValueError))  # TimeoutError is an OSError
+                self._whole = self._whole or not expected  # how much of it was taken in is not known
+                what = f"{type(error).__name__}: {error}"
+                log.warning("watch-failed", extra=kv(error=what), exc_info=None if expected else error)
                 self._client.close()
                 if moving and self._whole:  # the module's back-off was meant for the old address
                     await asyncio.sleep(_MOVE_PAUSE)
                     continue
-                self._task = None
+                self._task, self._asks_whole = None, False
                 self._owner.list_failed()
                 return
-            self._whole = False
-            if update.hops or update.full:
-                log.info("map", extra=kv(version=update.version, full=update.full, changed=len(update.hops)))
-            self._owner.list_changed(update)
             at_once = "index=" in path and asyncio.get_running_loop().time() - asked_at < _AT_ONCE
             if at_once and update.version <= index:
                 # It contradicts itself, or has gone back to an older list: asked again at once, and by all,
--- /dev/null
+++ b/tests/crossings/test_watches.py
@@ -0,0 +1,241 @@
+"""Where two events cross at discovery's watch: each is forced by what the stand-in has read.
+
+After each of them one watch stands, and only one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import orjson
+import pytest
+
+from mountgauge.core.config import Address, MapUpdate
+from mountgauge.http1 import Message, response
+from mountgauge.transport_map import TransportMap
+from tests.helper import HOST, HttpServer, run, until
+from tests.test_peers import NAMES, Owner, listing
+
+Step = Callable[[asyncio.StreamWriter], Awaitable[None]]
+
+
+class Discovery(HttpServer):
+    """Notes each call and keeps it open until it is told what to write; `standing` counts those it has."""
+
+    def __init__(self) -> None:
+        super().__init__(self._never)
+        self.paths: list[str] = []
+        self.standing: dict[int, asyncio.StreamWriter] = {}
+
+    async def _never(self, message: Message) -> bytes | None:
+        return None
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = -1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.standing.pop(number, None)
+                number = len(self.paths)
+                self.paths.append(head.split(" ")[1])
+                self.standing[number] = writer
+        finally:
+            self.standing.pop(number, None)
+
+    async def called(self, count: int) -> asyncio.StreamWriter:
+        """The connection of the last of `count` calls, once it alone stands."""
+        await until(lambda: len(self.paths) >= count and list(self.standing) == [count - 1])
+        assert len(self.paths) == count
+        return self.standing[count - 1]
+
+
+class World:
+    def __init__(self, wait: float = 30.0, version: int = 5) -> None:
+        self.discovery, self.owner, self.wait = Discovery(), Owner(version), wait
+
+    async def __aenter__(self) -> World:
+        await self.discovery.start()
+        self.map = TransportMap(self.owner, Address(HOST, self.discovery.port), NAMES, self.wait)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.map.close()
+        await self.discovery.stop()
+
+
+def test_a_watch_asked_for_in_the_turn_in_which_it_was_ended_stands() -> None:
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            await world.discovery.called(1)
+            world.map.watch(False)
+            world.map.watch(True)
+            await world.discovery.called(2)
+
+    run(main())
+
+
+def test_a_watch_ended_and_asked_for_as_its_answer_comes_stands_once() -> None:
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            writer.write(listing(6, True))  # on its way: the next turn of the loop reads it
+            await asyncio.sleep(0)
+            for on in (False, True, False, True):
+                world.map.watch(on)
+            await world.discovery.called(2)
+
+    run(main())
+
+
+def test_a_snapshot_does_not_wait_for_the_watch_that_is_out() -> None:
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            await world.discovery.called(1)
+            world.map.snapshot()
+            writer = await world.discovery.called(2)
+            assert world.discovery.paths[1] == "/registry/instances"
+            world.map.snapshot()  # it is being asked for already
+            writer.write(listing(9, True))
+            await world.discovery.called(3)
+            assert world.discovery.paths[2].startswith("/registry/instances?index=9&")
+
+    run(main())
+
+
+def test_an_answer_of_the_old_address_is_not_heard_after_a_move() -> None:
+    async def main() -> None:
+        other = Discovery()
+        await other.start()
+        async with World() as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            writer.write(listing(6, False, state="left"))  # it has come, and is not read yet
+            world.map.move(Address(HOST, other.port))
+            writer = await other.called(1)
+            assert other.paths == ["/registry/instances"], "all of it, whatever the old one said"
+            writer.write(listing(2, True))
+            await other.called(2)
+            assert [update.version for update in world.owner.updates] == [2]
+            await until(lambda: not world.discovery.standing)
+            assert world.owner.failures == 0
+        await other.stop()
+
+    run(main())
+
+
+HALF = listing(6, True)
+STAGES = {
+    "before the head": b"",
+    "half a head": HALF[:12],
+    "half a body": HALF[: HALF.index(b"\r\n\r\n") + 30],
+}
+
+
+@pytest.mark.parametrize("stage", STAGES)
+def test_a_watch_that_falls_silent_is_told_and_the_next_one_stands(stage: str) -> None:
+    """Half an answer is not waited for as long as a watch may wait for news."""
+
+    async def main() -> None:
+        wait = 30.0 if STAGES[stage] else 0.1
+        async with World(wait) as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            began = asyncio.get_running_loop().time()
+            writer.write(STAGES[stage])
+            await until(lambda: world.owner.failures == 1)
+            assert asyncio.get_running_loop().time() - began < 6, "what it misses counts as told by then"
+            assert not world.owner.updates
+            await until(lambda: not world.discovery.standing)
+            world.map.watch(True)  # as the module asks for it
+            writer = await world.discovery.called(2)
+            assert world.discovery.paths[1] == world.discovery.paths[0]
+            writer.write(HALF)
+            await until(lambda: world.owner.updates)
+            await world.discovery.called(3)
+
+    run(main())
+
+
+def test_a_list_in_pieces_and_indented_is_read() -> None:
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            body = orjson.dumps(
+                orjson.loads(HALF[HALF.index(b"\r\n\r\n") :]),
+                option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE,
+            )
+            data = response(200, "OK", {}, body)
+            for at in range(0, len(data), 7):
+                writer.write(data[at : at + 7])
+                await asyncio.sleep(0)
+            await world.discovery.called(2)
+            assert world.owner.updates[0].version == 6 and world.owner.updates[0].hops[0].id == "s-1"
+
+    run(main())
+
+
+@pytest.mark.parametrize("body", [
+    b'{"version": 1e400, "full": true, "servers": []}', b'{"version": null, "full": true, "servers": []}',
+    b'{"version": 7, "full": true, "servers": 8}', b"[" * 3000, b"\xff\xfe", b"",
+])  # fmt: skip
+def test_a_list_that_cannot_be_read_is_a_failed_call(body: bytes) -> None:
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            writer.write(response(200, "OK", {}, body))
+            await until(lambda: world.owner.failures == 1)
+            world.map.watch(True)
+            await world.discovery.called(2)
+            assert not world.owner.updates and world.discovery.paths[1] == world.discovery.paths[0]
+
+    run(main())
+
+
+def test_a_list_that_its_owner_fails_on_is_a_failed_call() -> None:
+    """Whatever goes wrong with one answer, the watch must not end with it."""
+
+    async def main() -> None:
+        async with World() as world:
+            taken = world.owner.list_changed
+
+            def fails(update: MapUpdate) -> None:
+                world.owner.list_changed = taken  # type: ignore[method-assign]
+                raise RuntimeError("a fault in what the list sets off")
+
+            world.owner.list_changed = fails  # type: ignore[method-assign]
+            world.map.watch(True)
+            (await world.discovery.called(1)).write(listing(6, True))
+            await until(lambda: world.owner.failures == 1)
+            world.map.watch(True)
+            writer = await world.discovery.called(2)
+            assert world.discovery.paths[1] == "/registry/instances", "all of it: some may not be taken in"
+            writer.write(listing(7, True))
+            await until(lambda: world.owner.updates)
+
+    run(main())
+
+
+def test_a_move_set_off_by_the_list_itself_leaves_one_watch() -> None:
+    async def main() -> None:
+        async with World() as world:
+            taken = world.owner.list_changed
+
+            def moves(update: MapUpdate) -> None:
+                world.owner.list_changed = taken  # type: ignore[method-assign]
+                world.map.look_now()
+
+            world.owner.list_changed = moves  # type: ignore[method-assign]
+            world.map.watch(True)
+            (await world.discovery.called(1)).write(listing(6, True))
+            (await world.discovery.called(2)).write(listing(7, True))
+            assert world.discovery.paths[1] == "/registry/instances"
+            await world.discovery.called(3)
+            assert world.owner.failures == 0
+
+    run(main())
