Tell a delivery attempt's outcome and its descriptor right in each turn in which events cross

A kept connection that is reset between the last look and the first byte was a reset that may have run, though not one byte was written: `at_most_once` messages were given up for it. A call given up before its connecting task's first step leaked one of the counted descriptors for good. A connection whose endpoint left while its call was out was kept. A message whose time ended while the call that it shares was still connecting was reported as timed out, so one that may never be repeated was `undeliverable` without a call, not `deferred`.

Ruled out, each by a test that passed before: half a line, an answer, an end or a reset as a kept connection is taken again, makes room or expires; a reset before the last byte (paused reader) and after it; giving up or cancelling in each of the first ten turns of a connection that comes up; one that comes up after a second, or after the limit.

At fault: Connection.begin took a write that raised for one that was made (asyncio closes and says nothing); HttpNextHops._connect counted out in handlers that a task cancelled before its first step never reaches; close_idle knew connections at rest alone; Sender._item_late said time-out whether a byte had gone or not; Connection.buffer_updated told its end twice where the answer's hearer closed it.

Change: a closing transport behind the write means that nothing was taken; the attempt's own end counts it out; `_Out.last`; MOOT for what was not sent; `_let_go` tells a connection's end once.

--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -497,7 +497,8 @@
         held = self.held.get(item.number)
         if held is not None and held.call is call and not item.reported and not self._stopped:
             item.reported = True
-            self._report(call, item, Result(Outcome.TIMEOUT))
+            # Its first byte may still wait for a connection: then it has not run, and never will.
+            self._report(call, item, Result(Outcome.TIMEOUT if item in call.sent else Outcome.MOOT))
 
     def admit(self, call: Call, items: list[Item]) -> list[Item]:
         now = self.clock.now()
--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -232,6 +232,10 @@
     CLOSED = "closed"
 
 
+def _nobody(connection: Connection) -> None:
+    """Who hears of an end that has been told."""
+
+
 class Connection(asyncio.BufferedProtocol):
     """A client's connection: CONNECTING, then IDLE and BUSY in turn, at last CLOSED."""
 
@@ -269,6 +273,8 @@
         assert self.state is State.IDLE and self._transport is not None
         self.state, self._finished, self.flushed = State.BUSY, finished, True
         self._transport.write(data)
+        if self._transport.is_closing():  # it broke as it was written to, and the system took nothing
+            self.flushed = False
 
     def pause_writing(self) -> None:
         self.flushed = False
@@ -300,7 +306,7 @@
                 self.state, self.idle_since = State.IDLE, asyncio.get_running_loop().time()
             self._finish(done[0], True)
             if self.state is State.CLOSED:
-                self._lost(self)
+                self._let_go()
 
     def _overdue(self) -> None:
         self._parser.current.spoilt = True
@@ -310,7 +316,7 @@
         if (message := self._parser.end()) is not None:
             self._shut()
             self._finish(message, True)
-            self._lost(self)
+            self._let_go()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -323,7 +329,12 @@
         partial, flushed = self._parser.current, self.flushed
         self._shut()
         self._finish(partial, flushed)
-        self._lost(self)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Its holder hears of the end once, whoever else ended it while the call's answer was told."""
+        lost, self._lost = self._lost, _nobody
+        lost(self)
 
     def _shut(self) -> None:
         self.state = State.CLOSED
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -74,6 +74,7 @@
     going: list[Item] = field(default_factory=list)
     stopped: Outcome | None = None
     idle: float | None = None  # s that its connection had been kept, None for a new one
+    last: bool = False  # its endpoint has left meanwhile: the connection goes with the call
 
 
 class HttpNextHops:
@@ -112,9 +113,14 @@
 
         return lost
 
-    def _keep(self, place: Place, connection: Connection) -> None:
+    def _rest(self, out: _Out, connection: Connection) -> None:
+        """Its call is over: it is kept for the next one, unless it broke or its endpoint has left."""
         if connection.state is not State.IDLE:
             return
+        if out.last:
+            connection.close()
+            return
+        place = _place(out.call.hop)
         self._pools.setdefault(place, []).append(connection)
         asyncio.get_running_loop().call_later(self._idle, self._expire, place, connection)
 
@@ -134,6 +140,9 @@
         return self._open < self._most
 
     def close_idle(self, hop_id: str) -> None:
+        """Those at rest now; one with a call out goes once that is answered."""
+        for out in self._out.values():
+            out.last = out.last or out.call.hop.id == hop_id
         for place in [place for place in self._pools if place[0] == hop_id]:
             for connection in list(self._pools.get(place, [])):
                 connection.close()
@@ -151,25 +160,29 @@
         elif self._make_room():
             self._open += 1
             self.opened += 1
-            out.task = loop.create_task(self._connect(out))
+            connection = Connection(self._lost(_place(call.hop)), _MOST_ANSWER, _REST)
+            out.task = loop.create_task(self._connect(out, connection))
+            out.task.add_done_callback(lambda task: self._tried(connection))
         else:
             loop.call_soon(self._finish, out, {})  # not sent
 
-    async def _connect(self, out: _Out) -> None:
+    def _tried(self, connection: Connection) -> None:
+        """One counter for each descriptor: where a connection has come up, `_lost` counts it out; where the
+        attempt has ended without one, also before its first step, none will, and it is counted out here.
+        """
+        if connection.state is State.CONNECTING:
+            self._open -= 1
+
+    async def _connect(self, out: _Out, connection: Connection) -> None:
         hop = out.call.hop
-        connection = Connection(self._lost(_place(hop)), _MOST_ANSWER, _REST)
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await asyncio.get_running_loop().create_connection(lambda: connection, hop.host, hop.port)
         except (OSError, TimeoutError):
-            if connection.state is State.CONNECTING:
-                self._open -= 1
             self._finish(out, {item.number: Result(Outcome.CONNECT_FAILED) for item in out.call.items})
             return
         except asyncio.CancelledError:  # given up, before a byte was written
-            if connection.state is State.CONNECTING:
-                self._open -= 1
-            else:
+            if connection.state is not State.CONNECTING:
                 connection.close()
             raise
         out.task = None
@@ -184,7 +197,7 @@
             return
         going = self._owner.admit(call, _fitting(call.items))
         if not going:
-            self._keep(_place(call.hop), connection)
+            self._rest(out, connection)
             self._finish(out, {})
             return
         out.going = going
@@ -230,7 +243,7 @@
             result = _result(message)
             results = {item.number: result for item in out.going}
         if out.connection is not None:
-            self._keep(_place(out.call.hop), out.connection)
+            self._rest(out, out.connection)
         self._finish(out, results)
 
     def _give_up(self, call: Call, outcome: Outcome = Outcome.TIMEOUT) -> None:
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -3,15 +3,319 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
 
 import orjson
+import pytest
 
-from mountgauge.core.ports import Result
+from mountgauge.core.ports import Call, End, Item, Result, Status
 from mountgauge.http1 import Message, response
 from mountgauge.next_hops import HttpNextHops
-from rillspindle.interface import Outcome
-from tests.helper import HttpServer, run, until
+from rillspindle.interface import Outcome, Readiness
+from tests.helper import HOST, HttpServer, run, until
 from tests.test_next_hops import Owner, call
+from tests.test_sender import Bench
+
+NEVER = (Outcome.CONNECT_FAILED, Outcome.MOOT)
+GOOD = response(200, "OK", {}, b"")
+
+
+def reset(sock: socket.socket) -> None:
+    """At once: the other side's kernel knows it when this returns."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Peer:
+    """An endpoint on bare sockets: what it does takes effect before the sender's next step."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((HOST, 0))
+        self.listener.setblocking(False)
+        self.port: int = self.listener.getsockname()[1]
+
+    async def accept(self) -> socket.socket:
+        sock, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        sock.setblocking(False)
+        return sock
+
+    async def call(self, sock: socket.socket) -> bytes:
+        """One call, whole."""
+        data, loop = b"", asyncio.get_running_loop()
+        while True:
+            data += await loop.sock_recv(sock, 65536)
+            head, sign, body = data.partition(b"\r\n\r\n")
+            if sign and len(body) >= int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]):
+                return data
+
+
+@contextlib.asynccontextmanager
+async def world(
+    owner: Owner, timeout: float = 2.0, most: int = 8
+) -> AsyncIterator[tuple[Peer, HttpNextHops]]:
+    peer, hops = Peer(), HttpNextHops(owner, timeout, 5.0, most)
+    yield peer, hops
+    hops.close()
+    await asyncio.sleep(0)
+    assert hops.out == 0 and hops._open == 0, "each connection is counted out once"
+    peer.listener.close()
+
+
+async def kept(peer: Peer, hops: HttpNextHops, owner: Owner) -> socket.socket:
+    """The peer's end of a connection that has served one call and rests."""
+    hops.start(call(peer.port))
+    sock = await peer.accept()
+    await peer.call(sock)
+    sock.send(GOOD)
+    await until(lambda: owner.done)
+    owner.done.clear()
+    return sock
+
+
+class Before(Owner):
+    """Something happens between the last look and the first byte."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.then: Callable[[], None] = lambda: None
+
+    def admit(self, call: Call, items: list[Item]) -> list[Item]:
+        self.then()
+        return items
+
+
+def test_a_reset_between_the_last_look_and_the_first_byte_has_not_run() -> None:
+    """Not one byte was written: a class that may never be repeated may be sent again."""
+
+    async def main() -> None:
+        owner = Before()
+        async with world(owner) as (peer, hops):
+            sock = await kept(peer, hops, owner)
+            owner.then = lambda: reset(sock)
+            hops.start(call(peer.port))
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.CONNECT_FAILED, stale=True)}
+
+    run(main())
+
+
+def test_an_end_between_the_last_look_and_the_first_byte_may_have_run() -> None:
+    """The bytes went out before the other side's reset came back: only the protocol's table can tell."""
+
+    async def main() -> None:
+        owner = Before()
+        async with world(owner) as (peer, hops):
+            sock = await kept(peer, hops, owner)
+            owner.then = sock.close
+            hops.start(call(peer.port))
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.RESET, stale=True)}
+
+    run(main())
+
+
+@pytest.mark.parametrize("what", ["half a line", "an answer", "an end", "a reset"])
+def test_what_comes_as_a_kept_connection_is_taken_again_is_not_the_next_calls(what: str) -> None:
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner) as (peer, hops):
+            sock = await kept(peer, hops, owner)
+            match what:
+                case "half a line":
+                    sock.send(b"HTTP/1.1 2")
+                case "an answer":
+                    sock.send(response(500, "E", {}, b""))
+                case "an end":
+                    sock.shutdown(socket.SHUT_WR)
+                case _:
+                    reset(sock)
+            hops.start(call(peer.port))  # in the same turn: it lies there unread
+            other = await peer.accept()
+            await peer.call(other)
+            other.send(GOOD)
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.OK)} and hops.opened == 2
+            if what != "a reset":
+                with contextlib.suppress(ConnectionError):
+                    assert await asyncio.get_running_loop().sock_recv(sock, 100) == b"", "no call on it"
+                sock.close()
+            other.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("reason", ["room", "expiry"])
+def test_what_comes_as_a_resting_connection_is_let_go_is_nobodys(reason: str) -> None:
+    """Bytes of the partner and the sender's own reason to close, in one turn: one end, counted once."""
+
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner, most=1) as (peer, hops):
+            sock = await kept(peer, hops, owner)
+            [(place, [connection])] = hops._pools.items()
+            sock.send(b"HTTP/1.1 500 E\r\n\r\n")
+            if reason == "room":  # another endpoint's call needs the one descriptor
+                other = Peer()
+                hops.start(call(other.port))
+            else:
+                other = peer
+                connection.idle_since -= 60
+                hops._expire(place, connection)
+                hops.start(call(peer.port))
+            mine = await other.accept()
+            await other.call(mine)
+            mine.send(GOOD)
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.OK)}
+            sock.close()
+            mine.close()
+            if other is not peer:
+                other.listener.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("before", [True, False])
+def test_a_reset_before_and_after_a_calls_last_byte(before: bool) -> None:
+    """A paused reader keeps the last byte with the sender; one that has read it all may have run it."""
+
+    async def main() -> None:
+        owner, loop = Owner(), asyncio.get_running_loop()
+        async with world(owner) as (peer, hops):
+            peer.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            hops.start(call(peer.port, b"x" * (32 << 20 if before else 1000), limit=10.0))
+            sock = await peer.accept()
+            if before:
+                await loop.sock_recv(sock, 1000)
+                reset(sock)
+            else:
+                await peer.call(sock)
+                sock.send(b"HTTP/1.1 2")  # it has begun to answer
+                reset(sock)
+            await until(lambda: owner.done)
+            expected = Outcome.CONNECT_FAILED if before else Outcome.RESET
+            assert owner.done[0][1] == {0: Result(expected)}
+
+    run(main())
+
+
+@pytest.mark.parametrize("turns", range(10))
+@pytest.mark.parametrize("how", ["cancel", "give up"])
+def test_giving_up_in_each_turn_in_which_a_connection_comes_up(how: str, turns: int) -> None:
+    """Whichever turn it falls into: one outcome, never-ran only where the peer got no whole call, no
+    descriptor left over and none counted twice.
+    """
+
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner) as (peer, hops):
+            one = call(peer.port)
+            hops.start(one)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            hops.cancel(one) if how == "cancel" else hops._give_up(one)
+            await until(lambda: owner.done)
+            await asyncio.sleep(0.02)
+            assert len(owner.done) == 1 and hops._open == 0
+            got = b""
+            with contextlib.suppress(BlockingIOError):
+                sock, _ = peer.listener.accept()
+                with sock, contextlib.suppress(ConnectionError):
+                    sock.settimeout(2)
+                    while data := sock.recv(65536):
+                        got += data
+            outcome = owner.done[0][1][0].outcome
+            whole = got.endswith(b"\r\n\r\nx")
+            assert not (whole and outcome in NEVER), (outcome, got)
+            late = {"cancel": Outcome.CANCELLED, "give up": Outcome.TIMEOUT}[how]
+            assert outcome in (*NEVER, late)
+
+    run(main())
+
+
+def full_backlog(peer: Peer) -> list[socket.socket]:
+    """The peer's system takes no further connection until `accept`; one that asks is told nothing."""
+    peer.listener.listen(0)
+    fillers = []
+    for _ in range(3):
+        fillers.append(filler := socket.socket())
+        filler.setblocking(False)
+        filler.connect_ex((HOST, peer.port))
+    return fillers
+
+
+def test_a_connection_that_comes_up_late_carries_one_call_that_says_what_is_left() -> None:
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner, timeout=8.0) as (peer, hops):
+            fillers = full_backlog(peer)
+            hops.start(call(peer.port, limit=9.0))
+            await asyncio.sleep(0.2)
+            assert hops.out == 1
+            got = b""
+            async with asyncio.timeout(9):
+                while b"/hook" not in got:  # room is made; its system asks again after a second
+                    sock = await peer.accept()
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(0.05):
+                            got = await peer.call(sock)
+            assert int(got.lower().split(b"x-expires-in-ms: ")[1].split(b"\r\n")[0]) < 8900
+            sock.send(GOOD)
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.OK)} and hops.opened == 1
+            for filler in [*fillers, sock]:
+                filler.close()
+
+    run(main())
+
+
+def test_one_that_comes_up_after_the_limit_has_not_run() -> None:
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner, timeout=0.2) as (peer, hops):
+            fillers = full_backlog(peer)
+            hops.start(call(peer.port, limit=9.0))
+            await until(lambda: owner.done and not hops._open)
+            assert owner.done[0][1] == {0: Result(Outcome.CONNECT_FAILED)}
+            for filler in fillers:
+                filler.close()
+
+    run(main())
+
+
+def test_a_connection_whose_endpoint_leaves_during_its_call_is_not_kept() -> None:
+    async def main() -> None:
+        owner = Owner()
+        async with world(owner) as (peer, hops):
+            hops.start(call(peer.port))
+            sock = await peer.accept()
+            await peer.call(sock)
+            hops.close_idle("h")
+            sock.send(GOOD)
+            await until(lambda: owner.done)
+            assert owner.done[0][1] == {0: Result(Outcome.OK)}, "its answer is still heard"
+            assert hops._open == 0 and not hops._pools
+            sock.close()
+
+    run(main())
+
+
+def test_a_message_whose_time_ends_before_the_first_byte_of_its_call_has_not_run(tmp_path: Path) -> None:
+    """It shares a call that is still connecting: handing it in again is harmless, whatever its class."""
+    bench = Bench(tmp_path)
+    bench.sender.start(bench.hops(Readiness.READY, kind=1))
+    bench.pass_time(0.01)
+    bench.take("short", grade=2, left=0.4)
+    bench.take("long", grade=2, left=9.0)
+    bench.pass_time(0.6)
+    assert len(bench.calls) == 1 and len(bench.calls[0].items) == 2 and not bench.calls[0].sent
+    assert bench.ends["short"].status is Status.DEFERRED
+    assert bench.journal.live["short"].notice == End(Status.DEFERRED, bench.ends["short"].again_ms)
+    assert bench.sender.admit(bench.calls[0], bench.calls[0].items) == bench.calls[0].items[1:]
 
 
 def test_an_answer_for_several_is_not_waited_for_past_the_time_of_the_first() -> None:
