--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -178,7 +178,8 @@
         """Take over the journal of each slot whose process has gone: what is live there is this one's now.
 
         Its records are appended here in one write before its file goes, so that a crash in between leaves
-        them twice, never nowhere; read twice, a take-on replaces its copy and an ended id stays ended.
+        them twice, never nowhere; read twice, a take-on replaces its copy and an ended id stays ended. Where
+        they cannot be written, it is as if that slot had not been looked at: its turn comes later.
         """
         self.others, adopted = [], list[Stored]()
         for slot in range(self._slots):
@@ -189,15 +190,23 @@
                 self.others.append(path)
                 continue
             try:
-                before = set(self.live)
-                ends = len(self.ends)
+                before, ends = set(self.live), self.ends.copy()
                 self._load(path, None)
-                fresh = [self.live[i] for i in self.live.keys() - before]
-                told = list(self.ends.items())[ends:]
+                fresh = [stored for i, stored in self.live.items() if i not in before]
+                told = [(i, end) for i, end in self.ends.items() if ends.get(i) is not end]
                 records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in told]
                 records += [stored.record() for stored in fresh]
                 content = b"".join(records)
-                self._write_all(self._file, content)
+                try:
+                    self._write_all(self._file, content)
+                except OSError:  # half a record would cut off all that is appended behind it
+                    os.ftruncate(self._file, self._size)
+                    for stored in fresh:
+                        del self.live[stored.id]
+                        self._live_bytes -= self._cost(stored)
+                    self.ends = ends
+                    self.others.append(path)
+                    continue
                 self._size += len(content)
                 path.unlink()
                 spare.unlink(missing_ok=True)
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -110,9 +110,10 @@
         for stored in stored_ones:
             if stored.id in self.numbers:
                 continue
-            if stored.grade not in self.names.grades:
-                self.journal.give_up(stored.id, stored.notice or End(Status.UNDELIVERABLE))
-                stored.notice = stored.notice or End(Status.UNDELIVERABLE)
+            if stored.grade not in self.names.grades and stored.notice is None:
+                # What its class allowed is not known any more; one that has surely not run may come again.
+                stored.notice = End(Status.UNDELIVERABLE if stored.ran else Status.DEFERRED)
+                self.journal.give_up(stored.id, stored.notice)
             held = self._hold(stored, stored.expires + offset)
             if stored.notice is not None:  # given up by the last process, whose notice may not have arrived
                 held.over = True
--- /dev/null
+++ b/tests/crossings/test_restart.py
@@ -0,0 +1,208 @@
+"""What a restart finds taken on and untried is still tried; where a hand-over of a folder crosses a fault.
+
+Found, tried, delivered and given up are counted from the journal, the partner's log and the notices.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mountgauge.core.config import Names
+from mountgauge.core.journal import Journal, Stored
+from mountgauge.core.ports import End, Result, Status
+from mountgauge.http1 import Message
+from rillspindle.interface import Outcome, Readiness
+from tests.crossings.test_shutdown import Served
+from tests.helper import HOST, run, until
+from tests.test_peers import listing
+from tests.test_sender import Bench
+
+LIMIT = 8  # messages held, as the settings have it
+SHARE = LIMIT // 2  # of them for one destination
+
+
+class Unlisted(Served):
+    """Its endpoint is leaving in all that a sender knows, until discovery says on a watch that it is back."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.listed, self.back = "leaving", asyncio.Event()
+
+    async def answer(self, message: Message) -> bytes:
+        assert message.start is not None
+        if message.start[1] == "/v1/notices" or self.back.is_set():
+            return await super().answer(message)
+        await self.back.wait()
+        return listing(5, True, id="e", addr=f"{HOST}:{self.endpoint.port}", cell=7, kind="one", zone="near")
+
+
+def test_what_a_restart_finds_untried_is_tried_though_more_comes_than_may_be_held(tmp_path: Path) -> None:
+    """Nothing can go before the restart nor right after it, by an old list; the clients go on with more than
+    there is room for. Newcomers are turned back, not those that were taken on.
+    """
+
+    async def main() -> None:
+        async with Unlisted(tmp_path) as platform:
+            process = await platform.start()
+            first = [(f"a{n}", "safe") for n in range(60)]
+            answers = await platform.send(*first)
+            process.kill()
+            await process.wait()
+            journal = Journal(tmp_path / "state", 3_000_000)
+            found = {one.id for one in journal.live.values() if not one.attempts and one.notice is None}
+            journal.close()
+            taken = {msg_id for (msg_id, _), answer in zip(first, answers, strict=True) if answer[:1] == b"+"}
+            assert found and found <= taken and not platform.hooks
+            await platform.start()
+            for burst in range(3):
+                await platform.send(*[(f"b{burst}-{n}", "safe") for n in range(60)])
+            assert not found & {*platform.notices}, "given up with no call"
+            platform.back.set()
+            await until(lambda: found <= {*platform.delivered}, 15)
+            assert not found & {*platform.notices}
+
+    run(main(), 60)
+
+
+def test_a_window_for_repeats_runs_on_over_a_restart(tmp_path: Path) -> None:
+    """It counts on the wall clock: a process that is down while it ends must not repeat the message."""
+    for down, calls in ((0.5, 1), (20.0, 0)):
+        folder = tmp_path / str(down)
+        folder.mkdir()
+        bench = Bench(folder)
+        window = bench.sender.rules.grades[1].repeat_window
+        assert 0.5 < window < 20
+        bench.sender.start(bench.hops(Readiness.READY))
+        bench.pass_time(0.01)
+        bench.take("a", grade=1, left=60.0)
+        bench.pass_time(0.01)
+        (call,) = bench.calls
+        bench.sender.admit(call, call.items)
+        bench.journal.close()
+        again = Bench(folder)
+        again.time = 7.0  # another boot's clock
+        began = bench.time + 1_000_000 + down
+        again.wall = lambda began=began, again=again: began + again.time - 7.0  # type: ignore[misc,method-assign]
+        again.sender.start(again.hops(Readiness.READY))
+        again.pass_time(0.05)
+        assert len(again.calls) == calls
+        assert ("a" in again.ends) is (not calls)
+
+
+def test_an_untried_message_of_a_class_that_has_gone_may_come_again(tmp_path: Path) -> None:
+    """The new settings don't know what its class allowed; it has surely not run, so it is not lost."""
+    bench = Bench(tmp_path)
+    bench.sender.start(bench.hops(Readiness.READY))
+    bench.pass_time(0.01)
+    for name in ("tried", "untried"):
+        bench.take(name, grade=2)
+        bench.pass_time(0.01)
+    call = bench.calls[0]
+    bench.sender.admit(call, call.items)
+    bench.journal.close()
+    again = Bench(tmp_path)
+    again.sender.names = Names(("safe", "keyed"), ("near", "far"), ("one", "many"))
+    again.sender.start(again.hops(Readiness.READY))
+    again.pass_time(0.05)
+    assert again.ends == {"tried": End(Status.UNDELIVERABLE), "untried": End(Status.DEFERRED)}
+
+
+# Hand-over of a folder
+
+
+def beside(folder: Path, *names: str) -> tuple[Journal, Journal]:
+    """The journals of an old and a new process on one folder; the old one holds these."""
+    old = Journal(folder, 300_000)
+    new = Journal(folder, 300_000)
+    for name in names:
+        old.take(Stored(name, "note", 1000.5, 7, "key", "platform", b"body"))
+    return old, new
+
+
+def reopened(folder: Path) -> Journal:
+    return Journal(folder, 300_000)
+
+
+@pytest.mark.parametrize("written", [0, 1, 40])
+def test_a_disk_that_fails_as_a_journal_is_adopted_costs_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, written: int
+) -> None:
+    """Half a record in front of all later ones would cut them off at the next start."""
+    old, new = beside(tmp_path, "a", "b")
+    old.end("a", End(Status.DELIVERED))
+    old.close()
+    whole = Journal._write_all
+
+    def fails(file: int, content: bytes) -> None:
+        monkeypatch.setattr(Journal, "_write_all", staticmethod(whole))
+        os.write(file, content[:written])
+        raise OSError(errno.ENOSPC, "no space")
+
+    monkeypatch.setattr(Journal, "_write_all", staticmethod(fails))
+    assert new.adopt() == [] and new.others, "it is still to be adopted"
+    assert "b" not in new.live and "a" not in new.ends
+    new.take(Stored("c", "note", 1000.5, 7, "key", "platform", b"body"))
+    assert [one.id for one in new.adopt()] == ["b"] and not new.others
+    new.close()
+    last = reopened(tmp_path)
+    assert set(last.live) == {"b", "c"} and set(last.ends) == {"a"} and not last.cut
+    last.close()
+
+
+def test_ends_that_are_adopted_are_known_after_a_restart_however_many_there_were(tmp_path: Path) -> None:
+    """Past the number of ends that are remembered the oldest go, and the new ones' places move."""
+    old, new = beside(tmp_path, "a")
+    for n in range(400):  # more than a folder of this size remembers
+        name = f"m{n}"
+        new.take(Stored(name, "note", 1000.5, 7, "key", "platform", b""))
+        new.end(name, End(Status.DELIVERED))
+    old.end("a", End(Status.DELIVERED))
+    old.close()
+    new.adopt()
+    assert "a" in new.ends
+    new.close()
+    last = reopened(tmp_path)
+    assert "a" in last.ends, "handed in again it would be delivered a second time"
+    last.close()
+
+
+def test_the_old_ones_last_record_is_adopted_whenever_it_comes(tmp_path: Path) -> None:
+    """An answer that comes between two looks of the new process, with the old one still there."""
+    old, new = beside(tmp_path, "a", "b")
+    assert new.adopt() == [] and new.others
+    old.attempt(["a"], 5.0, 0)
+    old.end("b", End(Status.DELIVERED))
+    old.close()
+    [one] = new.adopt()
+    assert (one.id, one.attempts, one.ran) == ("a", 1, [(5.0, 0)])
+    assert new.adopt() == [] and "b" in new.ends
+    new.close()
+
+
+def test_an_attempt_that_ended_while_the_old_one_goes_is_in_its_last_record(tmp_path: Path) -> None:
+    """After the last turn no further one is decided on, but what an attempt came to is written down."""
+    bench: Any = Bench(tmp_path)
+    bench.sender.start(bench.hops(Readiness.READY, Readiness.READY))
+    bench.pass_time(0.01)
+    for name in ("never", "done", "maybe"):
+        bench.take(name, grade=2)
+        bench.pass_time(0.3)
+    calls = {call.items[0].id: call for call in bench.calls}
+    for call in bench.calls:
+        bench.sender.admit(call, call.items)
+    bench.sender.stop()
+    for name, outcome in (("never", Outcome.CONNECT_FAILED), ("done", Outcome.OK), ("maybe", Outcome.RESET)):
+        call = calls[name]
+        bench.sender.finished(call, {call.items[0].number: Result(outcome)})
+    assert not bench.timers or bench.pass_time(1.0) is None
+    bench.journal.close()
+    last = Journal(tmp_path, 1_000_000)
+    assert {one.id: len(one.ran) for one in last.live.values()} == {"never": 0, "maybe": 1}
+    assert set(last.ends) == {"done"}
+    last.close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,6 +26,7 @@
         self.notices: dict[str, str] = {}
         self.discovery, self.endpoint = HttpServer(self.answer), HttpServer(self.hook)
         self.port = 0
+        self.listed = "active"  # the endpoint, in what a sender knows at its start
 
     async def answer(self, message: Message) -> bytes:
         assert message.start is not None
@@ -52,7 +53,7 @@
             self.port = free.sockets[0].getsockname()[1]
             free.close()
         line = {"id": "e", "addr": f"{HOST}:{self.endpoint.port}", "zone": "near", "kind": "one", "cell": 7,
-                "state": "active", "weight": 1.0, "started_ms": 0}  # fmt: skip
+                "state": self.listed, "weight": 1.0, "started_ms": 0}  # fmt: skip
         grades = [grade(name="safe"), grade("deduplicated", name="keyed"), grade("at_most_once", name="once")]
         raw: dict[str, Any] = {
             "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{self.discovery.port}",
