Turn newcomers back before what was taken on and has surely not run: 0.7 of its time is its own

At fault: Policy._hold, past the bound on held ones, ended what is worth least whoever that was: an old or restored message made room for a newcomer that could have been turned back for nothing.

Change: what has not run is not among those that may be given up before 0.7 of its time, counted from its take-on or its restart; a newcomer always is.

test_shutdown's pipe is not written again before it has been read: under load both texts were read as one.

--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -40,6 +40,7 @@
 NODES_PER_PLACE = 16  # the same, from which idle connections fill an endpoint's table
 LIST_CALL = 0.2  # s of discovery's time that a node leaves for each of many others after a failed call
 LOOKED = 256  # held messages that are weighed at once, of the oldest and of the newest
+OWED = 0.7  # of its time in which a message that was taken on and has surely not run is not given up
 FORGET = 10  # times the warm-up after which a destination without endpoints or messages is forgotten
 LOG_LINES = 60  # most log lines of one instance
 
@@ -65,8 +66,7 @@
 
     def handle(self, event: io.Event, now: float) -> list[io.Action]:
         """Take one event; return what to do, in order."""
-        self.now, self.out = now, []
-        self.born = self.born or now
+        self.now, self.out, self.born = now, [], self.born or now
         match event:
             case io.Incoming() | io.Restored():
                 self._take(event)
@@ -136,15 +136,16 @@
         grade, dest = self.set.grades[event.grade], self.dests.setdefault(event.dest, Dest(event.dest))
         msg = Message(event.msg_id, event.expires, grade, dest, 0, self.set.loses_by_half)
         self.msgs[msg.id] = msg
+        owed_until = self.now + OWED * (msg.expires - self.now)
         if isinstance(event, io.Restored):
-            msg.attempts, msg.ran = event.attempts, list(event.ran)
-            self._again(msg, Outcome.MOOT)
-            return
+            msg.attempts, msg.ran, msg.owed_until = event.attempts, list(event.ran), owed_until
+            return self._again(msg, Outcome.MOOT)
         dest.taken += 1
         if grade.by_arrival and event.key:
             msg.key = event.key
             self.keys.setdefault(msg.key, deque()).append(msg)
         self._hold(msg)
+        msg.owed_until = owed_until  # not before: until then it is not taken on
 
     def _last_moment(self, msg: Message) -> float:
         """When no call for a held message can pay any more, or its destination may have forgotten the key."""
@@ -163,8 +164,9 @@
         full = len(self.msgs) > self.set.max_open * OPEN_SHARE
         if msg.id in dest.held and (full or len(dest.held) > self.set.max_open * DEST_SHARE):
             then = {d.id: self.now + self._drain_time(d) for d in (self.dests.values() if full else [dest])}
-            held = [m for number in then for m in self.dests[number].held.values()]
-            self._end(min(held, key=lambda m: (m.worth(then[m.dest.id]), -m.born)))
+            held = [m for n in then for m in self.dests[n].held.values() if m.ran or m.owed_until <= self.now]
+            if held:  # what has surely not run is owed a try, also over a restart
+                self._end(min(held, key=lambda m: (m.worth(then[m.dest.id]), -m.born)))
 
     def _drain_time(self, dest: Dest) -> float:
         """How long what is held for a destination will take to go out, a closed gate included."""
@@ -323,8 +325,7 @@
                 ep.trial, ep.window_end = True, self.now + self._window(ep)
                 if ep.route.misses > PROVEN:  # one trial for all endpoints of a route
                     ep.route.window_end = ep.window_end
-        call.left += 1
-        call.size += 1
+        call.left, call.size = call.left + 1, call.size + 1
         del msg.dest.held[msg.id]
         msg.out[msg.attempts] = call
         msg.attempts += 1
@@ -427,8 +428,7 @@
 
     def _answered(self, ep: Endpoint, spent: float) -> None:
         """A success makes the endpoint live again and raises the pace by a step."""
-        route = ep.route
-        ep.answered_at = self.now
+        route, ep.answered_at = ep.route, self.now
         ep.bad *= 1 - BAD_GAIN
         ep.dev += SMOOTH_DEV * (abs(spent - ep.usual) - ep.dev)
         ep.usual += SMOOTH * (spent - ep.usual)
--- a/tests/crossings/test_restart.py
+++ b/tests/crossings/test_restart.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import errno
+import math
 import os
 from pathlib import Path
 from typing import Any
@@ -17,9 +18,12 @@
 from mountgauge.core.journal import Journal, Stored
 from mountgauge.core.ports import End, Result, Status
 from mountgauge.http1 import Message
+from rillspindle import interface as io
 from rillspindle.interface import Outcome, Readiness
 from tests.crossings.test_shutdown import Served
+from tests.driver import Driver, entry
 from tests.helper import HOST, run, until
+from tests.settings import settings
 from tests.test_peers import listing
 from tests.test_sender import Bench
 
@@ -70,6 +74,47 @@
     run(main(), 60)
 
 
+def small(readiness: Readiness, wait: float = 0.0) -> Driver:
+    env = settings()
+    env["ceilings"] |= {"maxOpen": LIMIT}
+    driver = Driver(env)
+    driver.targets(io.ListKind.FULL, entry(1, readiness=readiness))
+    driver.now += 1
+    driver.policy.handle(io.Remembered(0, wait, math.inf), driver.now)
+    for number in range(1, SHARE + 1):
+        driver.policy.handle(io.Restored(number, driver.now + 6.0, 0, 0, 0, ()), driver.now)
+    return driver
+
+
+def kept(driver: Driver, messages: list[int]) -> set[int]:
+    return {number for number in messages if number in driver.policy.msgs}
+
+
+OLD, NEW = list(range(1, SHARE + 1)), list(range(100, 100 + LIMIT))
+
+
+def hand_in(driver: Driver, numbers: list[int]) -> None:
+    for number in numbers:
+        driver.policy.handle(io.Incoming(number, 0, driver.now + 12.0, 0, 0.0, 0, 0, 0), driver.now)
+
+
+@pytest.mark.parametrize(("readiness", "wait"), [(Readiness.DRAINING, 0.0), (Readiness.READY, 3.0)])
+def test_the_bound_on_what_is_held_turns_newcomers_back_not_what_was_taken_on(
+    readiness: Readiness, wait: float
+) -> None:
+    """What has surely not run is kept for seven tenths of its time, though a newcomer is worth more."""
+    driver = small(readiness, wait)
+    hand_in(driver, NEW)
+    assert kept(driver, OLD) == set(OLD) and not kept(driver, NEW)
+
+
+def test_what_has_had_seven_tenths_of_its_time_makes_room_for_what_is_worth_more() -> None:
+    driver = small(Readiness.READY, wait=7.0)
+    driver.now += 5.0
+    hand_in(driver, NEW[:SHARE])
+    assert kept(driver, NEW) == set(NEW[:SHARE]) and not kept(driver, OLD)
+
+
 def test_a_window_for_repeats_runs_on_over_a_restart(tmp_path: Path) -> None:
     """It counts on the wall clock: a process that is down while it ends must not repeat the message."""
     for down, calls in ((0.5, 1), (20.0, 0)):
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -61,19 +61,36 @@
         self.processes.append(process)
         return process
 
+    def writer(self) -> int | None:
+        """The pipe's other end, None where nobody reads it."""
+        try:
+            return os.open(self.file, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            return None
+
     async def tell(self, then: Callable[[], None] = lambda: None) -> None:
-        """The sender has opened the pipe, so it reads; `then` comes before it has a byte of it."""
-        pipes = list[int]()
+        """The sender has opened the pipe, so it reads; `then` comes before it has a byte of it. At the end it
+        has read all of it.
+        """
+        pipe: int | None = None
 
         def reads() -> bool:
-            with contextlib.suppress(OSError):  # no reader yet
-                pipes.append(os.open(self.file, os.O_WRONLY | os.O_NONBLOCK))
-            return bool(pipes)
+            nonlocal pipe
+            pipe = self.writer()
+            return pipe is not None
 
         await until(reads)
+        assert pipe is not None
         then()
-        os.write(pipes[0], json.dumps(self.told).encode())
-        os.close(pipes[0])
+        os.write(pipe, json.dumps(self.told).encode())
+        os.close(pipe)
+
+        def has_read() -> bool:
+            if (other := self.writer()) is not None:
+                os.close(other)
+            return other is None
+
+        await until(has_read)
 
 
 def test_sigterm_before_anything_listens_ends_in_order(tmp_path: Path) -> None:
