Ring the watchdogs of all messages whatever fails in one turn; test crossings beside the rest

Seen: the new test, in which a front fails as it is answered: the message held beside it never ended, as nothing woke the sender any more (failing on the code before).

At fault: Sender._turn_due asked for its next turn behind the turn, so an exception in it left none.

--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,15 @@
 PURE = tests/tenants/test_fleet.py tests/tenants/test_model.py tests/tenants/test_counts.py \
   tests/tenants/test_quota.py tests/tenants/test_wire.py tests/tenants/test_comeback.py tests/budgets/test_pure.py tests/budgets/test_fleet.py tests/test_rules.py
 
+# Real sockets and processes, each with its own world: beside the others, which wait for rigs.
+CROSSINGS = tests/crossings
+
 check: dev        ## the tests alone
-	@said=$$(mktemp); { $(PY) -m pytest -p no:cacheprovider $(PURE) > $$said 2>&1; } & pure=$$!; \
-	$(PY) -m pytest -p no:cacheprovider $(addprefix --ignore=,$(PURE)); rest=$$?; \
-	wait $$pure; pure=$$?; cat $$said; rm -f $$said; test $$pure -eq 0 -a $$rest -eq 0
+	@said=$$(mktemp) crossed=$$(mktemp); { $(PY) -m pytest -p no:cacheprovider $(PURE) > $$said 2>&1; } & pure=$$!; \
+	{ $(PY) -m pytest -p no:cacheprovider $(CROSSINGS) > $$crossed 2>&1; } & crossings=$$!; \
+	$(PY) -m pytest -p no:cacheprovider $(addprefix --ignore=,$(PURE) $(CROSSINGS)); rest=$$?; \
+	wait $$crossings; crossings=$$?; wait $$pure; pure=$$?; cat $$crossed $$said; rm -f $$crossed $$said; \
+	test $$pure -eq 0 -a $$crossings -eq 0 -a $$rest -eq 0
 
 test: build lint check
 
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -266,13 +266,18 @@
     def _turn_due(self, when: float) -> None:
         if when == self._turn_at and not self._stopped:
             self._turn_at = math.inf
-            self.turn()
-            while self._timers and self._timers[0][1] - _WATCHDOG not in self.held:
-                if self._timers[0][1] < _WATCHDOG:
-                    break
-                heapq.heappop(self._timers)  # its message has ended: nobody is to be woken for it
-            if self._timers:
-                self._turn_by(self._timers[0][0])
+            try:
+                self.turn()
+            finally:  # whatever fails in one turn, the watchdogs of all messages are still to be rung
+                self._wake_for_timers()
+
+    def _wake_for_timers(self) -> None:
+        while self._timers and self._timers[0][1] - _WATCHDOG not in self.held:
+            if self._timers[0][1] < _WATCHDOG:
+                break
+            heapq.heappop(self._timers)  # its message has ended: nobody is to be woken for it
+        if self._timers:
+            self._turn_by(self._timers[0][0])
 
     def turn(self) -> None:
         now = self.clock.now()
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -378,3 +378,19 @@
     setattr(bench.sender, "turn", counted)  # noqa: B010
     bench.pass_time(30.0)  # past every deadline
     assert turns[0] <= 3
+
+
+def test_a_fault_in_a_turn_leaves_the_watchdogs_of_all_messages(bench: Bench) -> None:
+    """Without a further event nobody else would wake the sender, and what it holds would never end."""
+    bench.sender.hops.clear()  # nothing can go, so nothing but the timers wakes it
+    bench.take("held", left=1.0)
+    bench.pass_time(0.01)
+
+    def fails(what: Answer) -> None:
+        raise RuntimeError("a fault in a front")
+
+    bench.sender.submit(Submission("b", 0, 9.0, 7, "k", b"x", "platform", fails, lambda: True))
+    with pytest.raises(RuntimeError):
+        bench.pass_time(0.01)
+    bench.pass_time(2.0)
+    assert set(bench.ends) == {"held"}
