Force the crossings of a notice's 204: with an end, a move, a reset, a further notice

What must hold: an end as the 204 comes leaves the notice owed and writes nothing more; a move tells the new address once; a reset at rest, under a notice or in half an answer costs a further try; a notice told while one is out goes with the next. No change of the program.

--- /dev/null
+++ b/tests/crossings/test_notices.py
@@ -0,0 +1,119 @@
+"""Where a notice's 204 crosses an end, a move, a reset or a further notice: on bare sockets, in one turn."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from mountgauge.core.config import Address
+from mountgauge.core.ports import End, Status
+from mountgauge.http1 import response
+from mountgauge.notices import Notices
+from tests.crossings.test_attempts import Peer, reset
+from tests.helper import HOST, run, until
+
+TOLD = response(204, "No Content", {}, b"")
+DEFERRED = End(Status.DEFERRED, 70)
+
+
+def test_an_end_as_the_204_comes_leaves_the_notice_owed() -> None:
+    """It is journalled as given up and told again by the next process: twice does no harm, never would."""
+
+    async def main() -> None:
+        peer, told = Peer(), list[str]()
+        notices = Notices(Address(HOST, peer.port))
+        notices.tell("a", DEFERRED, lambda: told.append("a"))
+        sock = await peer.accept()
+        await peer.call(sock)
+        sock.send(TOLD)  # it lies there unread
+        notices.close()
+        assert notices.owed == 1
+        await asyncio.sleep(0.05)
+        assert not told and notices.owed == 1, "nothing is written to a journal that may be closed"
+        sock.close()
+        peer.listener.close()
+
+    run(main())
+
+
+def test_a_move_as_the_204_comes_tells_the_new_address_once() -> None:
+    async def main() -> None:
+        old, new, told = Peer(), Peer(), list[str]()
+        notices = Notices(Address(HOST, old.port))
+        notices.tell("a", DEFERRED, lambda: told.append("a"))
+        sock = await old.accept()
+        await old.call(sock)
+        sock.send(TOLD)
+        notices.move(Address(HOST, new.port))
+        other = await new.accept()
+        assert b'"a"' in await new.call(other)
+        other.send(TOLD)
+        await until(lambda: not notices.owed)
+        assert told == ["a"]
+        notices.close()
+        for one in (sock, other, old.listener, new.listener):
+            one.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("when", ["at rest", "under a notice", "in half an answer"])
+def test_a_connection_that_is_reset_costs_a_further_try(when: str) -> None:
+    async def main() -> None:
+        peer, told = Peer(), list[str]()
+        notices = Notices(Address(HOST, peer.port))
+        notices.tell("a", DEFERRED, lambda: told.append("a"))
+        sock = await peer.accept()
+        await peer.call(sock)
+        if when == "at rest":
+            sock.send(TOLD)
+            await until(lambda: told)
+            reset(sock)  # in the turn in which the next one is told
+            notices.tell("b", DEFERRED, lambda: told.append("b"))
+        else:
+            if when == "in half an answer":
+                sock.send(TOLD[:11])
+            reset(sock)
+        other = await peer.accept()
+        await peer.call(other)
+        other.send(TOLD)
+        await until(lambda: not notices.owed)
+        assert told == (["a", "b"] if when == "at rest" else ["a"])
+        notices.close()
+        for one in (other, peer.listener):
+            one.close()
+
+    run(main())
+
+
+def test_a_notice_that_comes_while_one_is_out_goes_with_the_next() -> None:
+    async def main() -> None:
+        peer, told = Peer(), list[str]()
+        notices = Notices(Address(HOST, peer.port))
+
+        def told_a() -> None:
+            told.append("a")
+            notices.tell("c", DEFERRED, lambda: told.append("c"))  # an end that another one sets off
+
+        notices.tell("a", DEFERRED, told_a)
+        sock = await peer.accept()
+        assert b'"b"' not in await peer.call(sock)
+        notices.tell("b", DEFERRED, lambda: told.append("b"))
+        sock.send(TOLD)
+        body = await peer.call(sock)
+        assert b'"a"' not in body and b'"b"' in body and b'"c"' in body
+        sock.send(TOLD)
+        await until(lambda: not notices.owed)
+        assert told == ["a", "b", "c"]
+        notices.tell("d", DEFERRED, lambda: told.append("d"))  # and one after a rest
+        await peer.call(sock)
+        sock.send(TOLD)
+        await until(lambda: not notices.owed)
+        notices.close()
+        with contextlib.suppress(OSError):
+            sock.close()
+        peer.listener.close()
+
+    run(main())
