--- a/example/dispatch.py
+++ b/example/dispatch.py
@@ -17,7 +17,7 @@
     with socket.create_connection(SENDER, 2) as connection, connection.makefile("rb") as answers:
         for number in range(5):
             msg_id = uuid.uuid4().hex[:16]
-            pairs = f"c=stop-confirm,d=24000,k={uuid.uuid4().hex[:16]},dest=7"
+            pairs = f"c=confirmation,d=24000,k={uuid.uuid4().hex[:16]},dest=7"
             connection.sendall(enqueue(msg_id, pairs, f"stop {number} confirmed".encode()))
             print(msg_id, answers.readline().decode().strip())
 
--- a/example/fleet/dispatch.py
+++ b/example/fleet/dispatch.py
@@ -22,7 +22,7 @@
                 said = []
                 for _ in range(10):
                     name = uuid.uuid4().hex[:16].encode()
-                    pairs = b"c=stop-confirm,d=24000,k=%b,dest=7" % name
+                    pairs = b"c=confirmation,d=24000,k=%b,dest=7" % name
                     connection.sendall(command(b"ENQUEUE", b"0", name, pairs, b"stop confirmed"))
                     said.append(answers.readline().decode().strip())
             print(port, user.decode(), *said)
