--- a/tests/crossings/test_restart.py
+++ b/tests/crossings/test_restart.py
@@ -230,6 +230,26 @@
     new.close()
 
 
+def test_what_the_old_one_gave_up_and_did_not_tell_is_told_and_not_tried_again(tmp_path: Path) -> None:
+    """Its notice crossed the process's end: the new one owes the same end, and no other."""
+    bench = Bench(tmp_path)  # the new process, beside the old one
+    old = Journal(tmp_path, 300_000)
+    now = bench.wall()
+    for name in ("given-up", "untried"):
+        old.take(Stored(name, "safe", now + 9, 7, "k", "platform", b"x"))
+    old.give_up("given-up", End(Status.DEFERRED, 70))
+    bench.sender.start(bench.hops(Readiness.READY))
+    bench.pass_time(0.01)
+    assert bench.journal.adopt() == [] and not bench.ends
+    old.close()
+    bench.sender.restore(bench.journal.adopt())
+    bench.pass_time(0.02)
+    assert bench.ends == {"given-up": End(Status.DEFERRED, 70)}
+    assert [item.id for call in bench.calls for item in call.items] == ["untried"]
+    bench.told["given-up"]()
+    assert "given-up" in bench.journal.ends and "given-up" not in bench.journal.live
+
+
 def test_an_attempt_that_ended_while_the_old_one_goes_is_in_its_last_record(tmp_path: Path) -> None:
     """After the last turn no further one is decided on, but what an attempt came to is written down."""
     bench: Any = Bench(tmp_path)
