--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -132,8 +132,8 @@
 
 
 def test_further_signals_within_the_drain_change_nothing(tmp_path: Path) -> None:
-    """SIGTERM again, SIGINT, and SIGHUP with a file that cannot be read and one with another seed. A message is
-    handed in behind each of them, as long as any is let in.
+    """SIGTERM again, SIGINT, and SIGHUP with a file that cannot be read and one with another seed. A message
+    is handed in behind each of them, as long as any is let in.
     """
 
     async def main() -> None:
