--- a/tests/crossings/test_restart.py
+++ b/tests/crossings/test_restart.py
@@ -271,3 +271,32 @@
     assert {one.id: len(one.ran) for one in last.live.values()} == {"never": 0, "maybe": 1}
     assert set(last.ends) == {"done"}
     last.close()
+
+
+def test_a_kill_at_each_byte_of_an_adoption_loses_and_doubles_nothing(tmp_path: Path) -> None:
+    """The append may stop anywhere with the old file still there; or be whole with the old file gone."""
+    first = tmp_path / "first"
+    first.mkdir()
+    old, new = beside(first, "a", "b", "d")
+    old.attempt(["a"], 5.0, 0)
+    old.end("b", End(Status.DELIVERED))
+    old.give_up("d", End(Status.DEFERRED, 70))
+    new.take(Stored("c", "note", 1000.5, 7, "key", "platform", b"body"))
+    old.close()
+    left, before = old.path.read_bytes(), new.path.read_bytes()
+    new.adopt()
+    after = new.path.read_bytes()
+    new.close()
+    assert after.startswith(before) and len(after) - len(before) > 100
+    states = [(left, after[:cut]) for cut in range(len(before), len(after) + 1)] + [(None, after)]
+    for number, (theirs, mine) in enumerate(states):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        if theirs is not None:
+            (folder / old.path.name).write_bytes(theirs)
+        (folder / new.path.name).write_bytes(mine)
+        for _ in range(2):  # and once more, by what the first one wrote
+            found = reopened(folder)
+            assert {one.id: len(one.ran) for one in found.live.values()} == {"a": 1, "c": 0, "d": 0}
+            assert found.live["d"].notice == End(Status.DEFERRED, 70) and set(found.ends) == {"b"}
+            found.close()
