Bound the time to a fresh list after any lost call: root cause of rule `drain`

Root cause: no part of the program knew the time from which a change counts as notified although it has not arrived. Four places decided when discovery is asked, each by figures of its own: TransportMap._run (after a silence another long poll with the full limit, wait + 1.5 s, then 3.0 s or 1.2 s for whole lists), Policy._list (back-off up to 1.25 x askWithin / 4, spread by 0.2 s x senders up to askWithin), PlatformRuntime (the wait, fixed at the start), and, where lists are pushed, nobody: the module asks for a watch only where the settings say `subscribe`. So a second lost call in a row hid a change for up to 23 s, where 6 s, or 2 s after the first wait, are allowed; and answers that discovery had written were thrown away (a move, a limit of 1.2 s against a slow discovery, a list that could not be read before a back-off of 0.3 s and more).

Ruled out: the last look before the first byte (Attempts.admit sees the list's state at once).

Change: mountgauge/platform/watch.py, a state machine without I/O or clock, is the one place that decides when discovery is asked; watch_bounds.py derives every limit and back-off from the rule's figures and the settings, with the sums in its docstring. After a failure or a silence calls are to be answered at once until one has been; a call without an answer gets company and is still listened to, also one to an address moved away from. Lists are followed on sockets whether pushed or asked for; a new process that lists are pushed to hears its agent before its first call (1.5 s at most). Calls wait for what discovery has written and the loop has not read. New settings reach the watch.

Failures are no longer reported to the module, so the tests that counted reports now look at the calls that follow.

--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -234,9 +234,6 @@
         self._ready.append(event)
         self._soon()
 
-    def list_failed(self) -> None:
-        self._hear(io.Targets(io.ListKind.FAILED, self.version, ()))
-
     def _learn(self, update: MapUpdate, how: ListKind) -> None:
         now = self.clock.now()
         change = self.table.learn(update, how != ListKind.DELTA, now)
--- a/mountgauge/file_map.py
+++ b/mountgauge/file_map.py
@@ -9,9 +9,9 @@
 from mountgauge.core.config import ConfigError
 from mountgauge.log import kv
 from mountgauge.operator_file import Hops, Operator, load_hops
-from mountgauge.transport_map import MapOwner
+from mountgauge.platform.discovery import MapOwner
 
-log = logging.getLogger("mountgauge.transport_map")
+log = logging.getLogger("mountgauge.file_map")
 
 _LOOK = 0.05  # s between looks: a drain must be heeded 250 ms after it was told
 
--- a/mountgauge/lab/scale/roles.py
+++ b/mountgauge/lab/scale/roles.py
@@ -78,7 +78,7 @@
             Row(
                 "messages in: changes, the whole list",
                 plain(size.changes_per_s, Unit.PER_S, "changes a day"),
-                "mountgauge.transport_map",
+                "mountgauge.platform.discovery",
             ),
             Row(
                 "messages in and out: asks of its relay",
@@ -93,7 +93,7 @@
             Row(
                 "bytes in: changes, the whole list",
                 summed(slopes, line, whole, Unit.BYTES_PER_S, kb_s),
-                "mountgauge.transport_map",
+                "mountgauge.platform.discovery",
             ),
             Row("a start, the whole list", summed(slopes, start, whole, Unit.SECONDS, size.ready_s), list_of),
             Row("a start, its shards", summed(slopes, start, part, Unit.SECONDS, size.ready_s), list_of),
@@ -268,7 +268,7 @@
 
 
 def discovery_role(kept: Kept, size: FleetSize) -> Role:
-    carried = "mountgauge.transport_map (discovery itself is not part of this project)"
+    carried = "mountgauge.platform.discovery (discovery itself is not part of this project)"
     whole = (Term("discovery-list-bytes"),)
     restarts = (Term("discovery-list-bytes", size.restarts_per_day / 86_400),)
     at = float(size.destinations)
@@ -294,7 +294,7 @@
             Row(
                 "a whole list",
                 summed(kept.slopes, whole, at, Unit.BYTES, MOST_LIST_BYTES),
-                "mountgauge.transport_map._MOST_LIST",
+                "mountgauge.platform.discovery.MOST_LIST_BYTES",
             ),
             Row(
                 "bytes out for restarts, no relays",
--- /dev/null
+++ b/mountgauge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's own services as a sender uses them: discovery's list of next hops."""
--- /dev/null
+++ b/mountgauge/platform/discovery.py
@@ -0,0 +1,261 @@
+"""Discovery's list of next hops over HTTP/1.1: the sockets round `DiscoveryWatch`, which decides when to ask.
+
+The calls share one kept connection; while one of them is late, the next goes on a connection of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from random import Random
+from typing import Protocol
+
+import orjson
+
+from mountgauge.core.config import Address, MapUpdate, Names
+from mountgauge.http1 import Connection, Message, State, request
+from mountgauge.log import kv
+from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.watch_bounds import WatchBounds
+
+log = logging.getLogger("mountgauge.platform.discovery")
+
+MOST_LIST_BYTES = 8 << 20
+# In which an answer that has begun must be whole: the rest of it would count as notified without having come.
+MOST_REST_S = 2.0
+MOST_UNREAD_S = 0.25  # for which calls wait for what discovery has written to be read
+
+
+class MapOwner(Protocol):
+    """Who is told of lists: the core."""
+
+    version: int
+
+    def list_changed(self, update: MapUpdate) -> None:
+        """A whole list, or what has changed, has come."""
+
+
+class ListExchange:
+    """One call to discovery on its connection, from the dial to the whole answer."""
+
+    def __init__(self, discovery: TransportMap, call: ListCall, address: Address) -> None:
+        self._discovery, self.call, self._address = discovery, call, address
+        self._connection: Connection | None = None
+        self._dial: asyncio.Task[None] | None = None
+
+    def begin(self, kept: Connection | None) -> None:
+        """Ask on the kept connection, or dial."""
+        if kept is not None:
+            self._ask(kept)
+        else:
+            self._dial = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        connection = Connection(self._discovery.lost, MOST_LIST_BYTES, MOST_REST_S)
+        try:
+            await asyncio.get_running_loop().create_connection(
+                lambda: connection, self._address.host, self._address.port
+            )
+        except OSError as error:
+            self._discovery.failed(self, Failure.REFUSED, f"{type(error).__name__}: {error}")
+            return
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        self._dial = None
+        if connection.state is not State.IDLE:
+            self._discovery.failed(self, Failure.REFUSED, "the connection broke at once")
+            return
+        self._ask(connection)
+
+    def _ask(self, connection: Connection) -> None:
+        self._connection = connection
+        path = "/registry/instances"
+        if self.call.index is not None:
+            path += f"?index={self.call.index}&wait={max(1, int(self.call.wait_s * 1000))}"
+        host = f"{self._address.host}:{self._address.port}"
+        connection.begin(request("GET", path, host, {}), self._finished)
+
+    def _finished(self, message: Message, flushed: bool) -> None:
+        connection, self._connection = self._connection, None
+        if message.whole:
+            assert connection is not None
+            self._discovery.answered(self, message, connection)
+        elif message.start is not None or message.spoilt:
+            why = "stopped" if connection is not None and connection.overdue else "broke off"
+            self._discovery.failed(self, Failure.SPOILT, f"the answer {why} half-way")
+        else:
+            self._discovery.failed(self, Failure.REFUSED, "the connection ended without an answer")
+
+    @property
+    def unread(self) -> bool:
+        """Whether discovery has written something that has not been read yet."""
+        return self._connection is not None and not self._connection.silent
+
+    def close(self) -> None:
+        """Nobody listens to the answer any more."""
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
+
+class TransportMap:
+    """Keeps the owner's list as discovery has it."""
+
+    def __init__(
+        self,
+        owner: MapOwner,
+        address: Address,
+        names: Names,
+        bounds: WatchBounds,
+        rng: Random | None = None,
+    ) -> None:
+        self._owner, self._address, self._names = owner, address, names
+        self._watch = DiscoveryWatch(bounds, rng or Random())
+        self._exchanges: dict[ListCall, ListExchange] = {}
+        self._kept: Connection | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._unread_since: float | None = None
+        self.answered_once = False  # since this process began
+
+    # What the core and the runtime ask for
+
+    def watch(self, on: bool) -> None:
+        """Follow the list from now on, or no longer."""
+        if on:
+            self._watch.start(self._now())
+        else:
+            self._watch.stop()
+        self._step()
+
+    def snapshot(self) -> None:
+        """Ask for the whole list now: a watch that is out may wait long for news."""
+        self._watch.ask_whole(self._now())
+        self.watch(True)
+
+    def look_now(self) -> bool:
+        """Ask for the whole list at once, whatever was under way: the answer is still to come."""
+        self.snapshot()
+        return False
+
+    def move(self, address: Address) -> None:
+        """Another address from now on: its whole list is asked for at once, whatever the old one did."""
+        self._address = address
+        self._forget_kept()
+        self._watch.move(self._now())
+        self.watch(True)
+
+    def retune(self, names: Names, bounds: WatchBounds) -> None:
+        """Heed new settings."""
+        self._names = names
+        self._watch.retune(bounds, self._now())
+        self._step()
+
+    def close(self) -> None:
+        """End all calls."""
+        self.watch(False)
+        self._forget_kept()
+
+    @property
+    def unread(self) -> bool:
+        """Whether discovery has written news that the next turns of the loop will read.
+
+        It counts as notified already. Never for longer than `MOST_UNREAD_S` on end, however much comes.
+        """
+        if not any(exchange.unread for exchange in self._exchanges.values()):
+            self._unread_since = None
+            return False
+        now = self._now()
+        if self._unread_since is None:
+            self._unread_since = now
+        return now - self._unread_since < MOST_UNREAD_S
+
+    # What the exchanges tell
+
+    def answered(self, exchange: ListExchange, message: Message, connection: Connection) -> None:
+        """A whole answer has come."""
+        if self._exchanges.pop(exchange.call, None) is None:
+            return
+        self._keep(exchange.call, connection)
+        try:
+            update = self._read(message)
+        except ValueError as error:
+            failure = Failure.SPOILT if message.status == 200 else Failure.REFUSED
+            self._fail(exchange.call, failure, str(error))
+            return
+        if self._watch.answered(exchange.call, update.version, self._now()):
+            self._take_in(update)
+        self._step()
+
+    def failed(self, exchange: ListExchange, failure: Failure, why: str) -> None:
+        """The call has ended without a whole answer."""
+        if self._exchanges.pop(exchange.call, None) is not None:
+            self._fail(exchange.call, failure, why)
+
+    def lost(self, connection: Connection) -> None:
+        """A connection has ended."""
+        if connection is self._kept:
+            self._kept = None
+
+    # Within
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def _read(self, message: Message) -> MapUpdate:
+        if message.status != 200:
+            raise ValueError(f"status {message.status}")
+        return self._names.update(orjson.loads(message.body))
+
+    def _take_in(self, update: MapUpdate) -> None:
+        self.answered_once = True
+        if update.hops or update.full:
+            changed = len(update.hops)
+            log.info("map", extra=kv(version=update.version, full=update.full, changed=changed))
+        try:
+            self._owner.list_changed(update)
+        except Exception:  # whatever a list sets off, the watch does not end with it
+            log.exception("list-not-taken-in", extra=kv(version=update.version))
+            self._watch.distrust(self._now())
+
+    def _fail(self, call: ListCall, failure: Failure, why: str) -> None:
+        self._watch.failed(call, failure, self._now())
+        log.warning("watch-failed", extra=kv(error=why, failures=self._watch.failures))
+        self._step()
+
+    def _step(self) -> None:
+        """Make and close the calls that are due, and come back when the next ones are."""
+        step = self._watch.poll(self._now(), self._owner.version)
+        for call in step.drop:
+            if (exchange := self._exchanges.pop(call, None)) is not None:
+                exchange.close()
+        for call in step.make:
+            exchange = self._exchanges[call] = ListExchange(self, call, self._address)
+            exchange.begin(self._take_kept())
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if (at := self._watch.wakes_at()) < float("inf"):
+            self._timer = asyncio.get_running_loop().call_at(at, self._step)
+
+    def _keep(self, call: ListCall, connection: Connection) -> None:
+        current = connection.state is State.IDLE and call.address == self._watch.address
+        if current and self._kept is None:
+            self._kept = connection
+        elif connection.state is State.IDLE:
+            connection.close()
+
+    def _take_kept(self) -> Connection | None:
+        connection, self._kept = self._kept, None
+        if connection is None:
+            return None
+        if connection.state is State.IDLE and connection.silent:
+            return connection
+        connection.close()
+        return None
+
+    def _forget_kept(self) -> None:
+        if self._kept is not None:
+            self._kept.close()
--- /dev/null
+++ b/mountgauge/platform/watch.py
@@ -0,0 +1,240 @@
+"""When to ask discovery, and how long to wait for it: a state machine without I/O or clock.
+
+It is the only place that decides this. Its driver makes the calls that `poll` returns and closes those that
+it drops, tells each answer (`answered`) and failure (`failed`), and polls again at `wakes_at`.
+
+While all goes well one call is out: a watch, which discovery answers once something is newer or the wait is
+over, followed at once by the next. As soon as one has failed or fallen silent, calls ask to be answered at
+once, until one has been: a watch that waits could hide for its whole wait that it is lost as well, and what
+changed meanwhile counts as notified long before (`watch_bounds`).
+
+A call without an answer gets company before it is given up. Until a newer call is answered, or `call_life_s`
+is over, it is still listened to: what discovery has written counts as notified, and a slow discovery would
+never answer if each call were cut off for the next. The same holds for calls to an address that has been
+moved away from, until the new one has answered.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from math import inf
+from random import Random
+
+from mountgauge.platform.watch_bounds import (
+    ANSWER_MARGIN_S,
+    AT_ONCE_S,
+    MOST_OPEN_CALLS,
+    MOVE_PAUSE_S,
+    NOTIFIED_AFTER_MOVE_S,
+    SHORT_WAIT_S,
+    WatchBounds,
+)
+
+
+class Failure(Enum):
+    """How a call failed."""
+
+    REFUSED = "refused"  # no connection, another status than 200, or an end before any answer
+    SPOILT = "spoilt"  # an answer had begun and broke off, or could not be read
+
+
+@dataclass(frozen=True, slots=True)
+class ListCall:
+    """One call to discovery."""
+
+    number: int
+    address: int  # counts the addresses that discovery has had
+    index: int | None  # the version that is known; None: the whole list is asked for
+    wait_s: float  # in which discovery may wait for changes
+    made_at: float
+
+    @property
+    def short(self) -> bool:
+        """Whether it is to be answered at once."""
+        return self.wait_s <= SHORT_WAIT_S
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What the driver has to do now."""
+
+    make: tuple[ListCall, ...] = ()
+    drop: tuple[ListCall, ...] = ()
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened since discovery last answered."""
+
+    failures: int = 0  # calls that failed
+    short_calls: int = 0  # calls to be answered at once that were made
+    lost: bool = False  # a call has failed or fallen silent: the next ones are short
+    spoilt: bool = False  # an answer was spoilt, and asked for anew at once
+    repeats: int = 0  # watches answered at once with nothing newer
+
+
+class DiscoveryWatch:
+    """The calls of one sender to discovery. Times are of the caller's monotonic clock, in seconds."""
+
+    def __init__(self, bounds: WatchBounds, rng: Random) -> None:
+        self.bounds = bounds
+        self._rng = rng
+        self._on = False
+        self._open: list[ListCall] = []  # in the order in which they were made
+        self._dropped: list[ListCall] = []
+        self._next_at = inf  # when the next call is to be made
+        self._number = 0
+        self._address = 0
+        self._moved_at = -inf
+        self._whole = False  # the next call asks for the whole list
+        self._since_answer = _Progress(lost=True)  # the first call is short: nothing is known yet
+
+    @property
+    def on(self) -> bool:
+        """Whether discovery is to be asked at all."""
+        return self._on
+
+    @property
+    def address(self) -> int:
+        """The number of the address that is asked now."""
+        return self._address
+
+    @property
+    def failures(self) -> int:
+        """Calls that have failed since the last answer."""
+        return self._since_answer.failures
+
+    @property
+    def open_calls(self) -> tuple[ListCall, ...]:
+        """The calls that are out, the newest last."""
+        return tuple(self._open)
+
+    def start(self, now: float) -> None:
+        """Watch from now on; nothing changes where it does already."""
+        if not self._on:
+            self._on = True
+            self._next_at = now
+
+    def stop(self) -> None:
+        """End all calls and make no more."""
+        self._on = False
+        self._next_at = inf
+        self._drop(self._open)
+
+    def retune(self, bounds: WatchBounds, now: float) -> None:
+        """Heed new settings; a watch that waits longer than they allow gets company when theirs is over."""
+        self.bounds = bounds
+        if self._open and not self._open[-1].short:
+            self._next_at = min(self._next_at, now + bounds.wait_s + ANSWER_MARGIN_S)
+
+    def move(self, now: float) -> None:
+        """Discovery has another address: ask there for the whole list, and keep asking until it has come."""
+        self._address += 1
+        self._moved_at = now
+        self.ask_whole(now)
+
+    def ask_whole(self, now: float) -> None:
+        """Ask for the whole list at once, whatever is out: a watch may wait long for a change."""
+        asking = self._open and self._open[-1].index is None and self._open[-1].address == self._address
+        if asking and self._since_answer.short_calls == 1:
+            return
+        self._whole = True
+        self._since_answer = _Progress(lost=True)
+        if self._on:
+            self._next_at = now
+
+    def poll(self, now: float, version: int) -> Step:
+        """The calls to make and to close now; `version` is the newest that is known, negative for none."""
+        self._drop([call for call in self._open if now >= self._listened_to_until(call)])
+        make = []
+        if self._on and now >= self._next_at:
+            if self._open:
+                self._since_answer.lost = True  # the newest one has not been answered in time
+            self._drop(self._short_calls()[: 1 - MOST_OPEN_CALLS])
+            make.append(self._make(now, version))
+        drop, self._dropped = tuple(self._dropped), []
+        return Step(tuple(make), drop)
+
+    def wakes_at(self) -> float:
+        """When to poll next, if nothing happens before."""
+        return min([self._next_at, *map(self._listened_to_until, self._open)])
+
+    def answered(self, call: ListCall, version: int, now: float, incomplete: bool = False) -> bool:
+        """A list of this version has come; whether it is to be taken in.
+
+        `incomplete`: it tells of a change without saying of which next hop.
+        """
+        if call not in self._open:
+            return False
+        older = self._open[: self._open.index(call)]
+        self._open.remove(call)
+        if call.address != self._address:
+            return True  # written before the new address has answered
+        self._drop(older)
+        before, self._since_answer = self._since_answer, _Progress()
+        self._whole = False
+        if incomplete:
+            self._whole = self._since_answer.lost = True
+        if self._open:
+            return True  # a newer call is out, and will be answered
+        self._next_at = now
+        at_once = not call.short and now - call.made_at < AT_ONCE_S
+        if at_once and call.index is not None and version <= call.index:
+            # Discovery contradicts itself, or has gone back to an older list: not asked without a rest.
+            self._since_answer.repeats = before.repeats + 1
+            self._next_at = now + self.bounds.rest_s(self._since_answer.repeats)
+        return True
+
+    def failed(self, call: ListCall, failure: Failure, now: float) -> None:
+        """The call has ended without a list."""
+        if call not in self._open:
+            return
+        self._open.remove(call)
+        if call.number != self._number:
+            return  # another one has been made for want of its answer
+        state = self._since_answer
+        state.lost = True
+        state.failures += 1
+        if failure is Failure.SPOILT and not state.spoilt:
+            state.spoilt = True  # what it told counts as notified already
+            self._next_at = now
+        elif now - self._moved_at < NOTIFIED_AFTER_MOVE_S and self._whole:
+            self._next_at = now + MOVE_PAUSE_S
+        else:
+            self._next_at = now + self.bounds.back_off_s(state.failures, self._rng.random())
+
+    def distrust(self, now: float) -> None:
+        """What has been answered could not be taken in, or not all of it: ask for the whole list."""
+        self._whole = True
+        state = self._since_answer
+        state.lost = True
+        state.failures += 1
+        self._next_at = now + self.bounds.back_off_s(state.failures, self._rng.random())
+
+    def _make(self, now: float, version: int) -> ListCall:
+        state = self._since_answer
+        self._number += 1
+        index = None if self._whole or version < 0 else version
+        wait = SHORT_WAIT_S if state.lost or index is None else self.bounds.wait_s
+        call = ListCall(self._number, self._address, index, wait, now)
+        self._open.append(call)
+        if not call.short:
+            self._next_at = now + wait + ANSWER_MARGIN_S
+            return call
+        state.short_calls += 1
+        self._next_at = now + self.bounds.limit_s(state.short_calls)
+        if len(others := self._short_calls()) == MOST_OPEN_CALLS:
+            self._next_at = max(self._next_at, self._listened_to_until(others[0]))
+        return call
+
+    def _short_calls(self) -> list[ListCall]:
+        return [call for call in self._open if call.short]
+
+    def _listened_to_until(self, call: ListCall) -> float:
+        wait = 0.0 if call.short else call.wait_s + ANSWER_MARGIN_S
+        return call.made_at + wait + self.bounds.call_life_s
+
+    def _drop(self, calls: list[ListCall]) -> None:
+        self._dropped += calls
+        self._open = [call for call in self._open if call not in calls]
--- /dev/null
+++ b/mountgauge/platform/watch_bounds.py
@@ -0,0 +1,97 @@
+"""How soon discovery has to be asked, derived from the platform's rule on drains and the settings.
+
+A change of the list counts as notified, whether or not it arrived, at the latest `NOTIFIED_AFTER_S` after
+discovery had it and could be reached; for a watch that has fallen silent also `NOTIFIED_AFTER_WAIT_S` after
+its wait, if that is later; after a move of discovery's address `NOTIFIED_AFTER_MOVE_S`. Nothing new may go to
+a draining next hop `drainGrace` after that. Every limit and back-off of the watch is a formula of these
+figures, so that the worst sum of them stays below:
+
+- Discovery refuses, then comes back right after a refused call: `back_off_most_s` x (1 + `JITTER`) +
+  `spread_s` until the next call, `limit_most_s` more if that one is lost, then the answer:
+  1.25 + 3.0 + 1.2 = 5.45 s of 6 s with hundreds of senders, 1.25 + 0.4 + 1.2 = 2.85 s with three.
+- Discovery is silent, then comes back: the next call is made at the latest `call_life_s` after the one
+  before, 3.0 s.
+- A watch falls silent: further calls are made `ANSWER_MARGIN_S` after its wait and `first_limit_s` after
+  that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on) of 2 s.
+- Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
+  listened to for `call_life_s`, 3.0 s of 4 s, so that a slow one still counts.
+
+`askWithin` bounds them as well: a sender whose call has failed is held to what was listed four times as long
+ago, so small values of it scale all of these figures down.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rillspindle.interface import Settings
+
+NOTIFIED_AFTER_S = 6.0  # after discovery had a change and could be reached
+NOTIFIED_AFTER_WAIT_S = 2.0  # after the wait of a watch that has fallen silent
+NOTIFIED_AFTER_MOVE_S = 4.0  # after discovery's address has moved
+FAILED_CALL_FACTOR = 4  # times `askWithin`: how long the list holds after a failed call
+WATCH_GAP_S = 0.2  # between two calls up to which they are one watch: changes in it count as notified
+
+ANSWER_MARGIN_S = 0.5  # past its wait after which a watch without an answer is taken to be silent
+MOST_WAIT_S = 60.0  # that discovery lets a call wait
+PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
+SHORT_WAIT_S = 0.001  # of a call that is to be answered at once, with changes or without
+MOST_OPEN_CALLS = 3  # to be answered at once: late ones are listened to while others are made
+
+DISCOVERY_CALL_S = 0.2  # of discovery's time that is left for each other sender after a failed call
+JITTER = 0.25  # share by which back-offs are spread
+FIRST_BACK_OFF_S = 0.25  # doubles with each failure in a row
+MOVE_PAUSE_S = 0.1  # after a refused call while the list of a new address is owed
+LEAST_LIMIT_S = 0.5  # after which a call without an answer gets company, in a small fleet
+LIMIT_PER_SENDER_S = 0.1  # of it for each sender: a crowded discovery is not asked twice as often
+
+AT_ONCE_S = 0.05  # a watch that is answered sooner did not wait for changes
+# Rests after a watch that was answered at once with nothing newer. Longer than `WATCH_GAP_S`: a shorter one
+# would belong to the watch, and what changes in it would be notified before it can be read.
+FIRST_REST_S = 0.3
+MOST_REST_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBounds:
+    """The limits of one sender's watch, in seconds; see the module's formulas."""
+
+    wait_s: float  # that a watch asks discovery to wait for changes
+    known_within_s: float  # after discovery can be reached, in which a change must have been read
+    first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
+    limit_most_s: float
+    call_life_s: float  # in which a call that was to be answered at once is listened to
+    back_off_most_s: float  # after a failed call, without jitter and spread
+    spread_s: float  # at random on top of it, so that many senders find a place in discovery's time
+    rest_most_s: float
+
+    @classmethod
+    def of(cls, rules: Settings) -> WatchBounds:
+        """The bounds that these settings imply."""
+        known_within = min(NOTIFIED_AFTER_S, FAILED_CALL_FACTOR * rules.ask_within)
+        limit_most = known_within / 5
+        crowded = LIMIT_PER_SENDER_S * rules.balancers
+        others = DISCOVERY_CALL_S * (rules.balancers - 1) if rules.subscribe else 0.0
+        return cls(
+            wait_s=min(MOST_WAIT_S, rules.ask_within) if rules.subscribe else PUSHED_WAIT_S,
+            known_within_s=known_within,
+            first_limit_s=min(limit_most, max(LEAST_LIMIT_S, crowded)),
+            limit_most_s=limit_most,
+            call_life_s=known_within / 2,
+            back_off_most_s=known_within / 6,
+            spread_s=min(others, known_within / 2),
+            rest_most_s=max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2)),
+        )
+
+    def limit_s(self, calls: int) -> float:
+        """How long the newest of so many calls without an answer waits alone before another one is made."""
+        return min(self.first_limit_s * 2.0 ** (calls - 1), self.limit_most_s)
+
+    def back_off_s(self, failures: int, draw: float) -> float:
+        """The pause after so many failures in a row; `draw` is a random number of 0 to 1."""
+        base = min(FIRST_BACK_OFF_S * 2.0 ** (failures - 1), self.back_off_most_s)
+        return base * (1 + JITTER * draw) + self.spread_s * draw
+
+    def rest_s(self, repeats: int) -> float:
+        """The rest after so many watches in a row that were answered at once with nothing newer."""
+        return min(FIRST_REST_S * 2.0 ** (repeats - 1), self.rest_most_s)
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -19,6 +19,7 @@
 from mountgauge.core.config import Address, ConfigError, MapUpdate
 from mountgauge.core.ports import NextHop
 from mountgauge.log import kv
+from mountgauge.platform.discovery import MapOwner
 from mountgauge.relay.follower import Follower
 from mountgauge.relay.kept_list import KeptList, KeptListError, KeptListFile
 from mountgauge.relay.settings import SenderSharding
@@ -28,7 +29,6 @@
 from mountgauge.sharding.store import ShardStore
 from mountgauge.sharding.subscription import Subscription
 from mountgauge.sharding.upstream import Call, Lane, RelayCall, Update
-from mountgauge.transport_map import MapOwner
 from rillspindle.interface import Entry, Readiness
 
 log = logging.getLogger("mountgauge.sharding")
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -173,6 +173,9 @@
         for subsystem in self.subsystems:
             await subsystem.start()
         self.sender.start(self.config.known)
+        # The module asks for a watch only where the simulator would not bring changes by itself; on sockets
+        # somebody always has to ask.
+        self.map.watch(True)
         self.sender.on_wait = self.handover.tell
         await self.handover.begin()
         if self.service is not None:
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import math
+from random import Random
 
 from mountgauge.clients import Clients
 from mountgauge.connections.registry import Registry
@@ -11,13 +14,17 @@
 from mountgauge.log import kv
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
+from mountgauge.platform.discovery import TransportMap
+from mountgauge.platform.watch_bounds import WatchBounds
 from mountgauge.router import Router
 from mountgauge.run.base import Runtime, socket_shares
-from mountgauge.transport_map import TransportMap
 
 log = logging.getLogger("mountgauge.run")
 
-_WATCH_MOST = 60.0  # s
+# A new process that lists are pushed to asks its agent before its first call, for so long at most: what the
+# agent has counts as notified from the process's first moment.
+FIRST_LIST_S = 1.5
+RECHECK_S = 0.005  # between two looks whether calls that wait for news may go
 _FIXED = ("listen", "state", "limits")  # what a running process can't change
 
 
@@ -30,9 +37,11 @@
         clients, hops = socket_shares(config.limits.sockets, rules.workers)
         http = HttpNextHops(self.sender, rules.connect_timeout, config.conn_idle, hops)
         self.next_hops = Router({"http": http}, {})
-        self.discovery = TransportMap(
-            self.sender, config.discovery, names, min(_WATCH_MOST, rules.ask_within)
-        )
+        random = Random(config.seed)
+        self.discovery = TransportMap(self.sender, config.discovery, names, WatchBounds.of(rules), random)
+        self._first_list_by = math.inf
+        self._recheck: asyncio.TimerHandle | None = None
+        self.sender.fresh = self._fresh
         self.map = self.discovery
         self.registry = Registry(platform_settings(clients))
         deadlines = [grade.deadline for grade in rules.grades]
@@ -44,6 +53,25 @@
         self.add_console(self.front)
         self.connect()
 
+    async def start(self) -> None:
+        self._first_list_by = asyncio.get_running_loop().time() + FIRST_LIST_S
+        await super().start()
+
+    def _fresh(self) -> bool:
+        """Whether all that discovery has written has been read; else calls are tried again soon."""
+        loop = asyncio.get_running_loop()
+        pushed = not self.sender.rules.subscribe
+        first = pushed and not self.discovery.answered_once and loop.time() < self._first_list_by
+        if not first and not self.discovery.unread:
+            return True
+        if self._recheck is None:
+            self._recheck = loop.call_later(RECHECK_S, self._release)
+        return False
+
+    def _release(self) -> None:
+        self._recheck = None
+        self.sender.release()
+
     def reload(self) -> None:
         try:
             config = Config.load()
@@ -57,6 +85,7 @@
             self.discovery.move(config.discovery)
         if config.settings != old.settings:
             self.sender.retune(config.rules, config.names)
+            self.discovery.retune(config.names, WatchBounds.of(config.rules))
             self.front.retune(config.names.grades, [grade.deadline for grade in config.rules.grades])
             classes, attempts = ",".join(config.names.grades), config.rules.attempts_cap
             log.info("retuned", extra=kv(classes=classes, attempts=attempts))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the watch of discovery, without sockets."""
--- /dev/null
+++ b/tests/platform/test_watch.py
@@ -0,0 +1,266 @@
+"""When discovery is asked: the state machine alone, in virtual time."""
+
+from __future__ import annotations
+
+import itertools
+from random import Random
+from typing import Any
+
+import pytest
+
+from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.watch_bounds import (
+    ANSWER_MARGIN_S,
+    FIRST_REST_S,
+    JITTER,
+    MOST_OPEN_CALLS,
+    MOVE_PAUSE_S,
+    NOTIFIED_AFTER_MOVE_S,
+    NOTIFIED_AFTER_S,
+    NOTIFIED_AFTER_WAIT_S,
+    SHORT_WAIT_S,
+    WATCH_GAP_S,
+    WatchBounds,
+)
+from rillspindle.interface import Settings
+from tests.settings import settings
+
+FLEETS = (1, 2, 5, 12, 30, 200, 3000)
+ASK_WITHIN_S = (0.5, 1.5, 4.0, 10.0, 60.0)
+
+
+def bounds_of(balancers: int = 2, ask_within_s: float = 10.0, discovery: str = "subscribe") -> WatchBounds:
+    env = settings(balancers=balancers, discovery=discovery)
+    env["obligations"] |= {"askWithin": ask_within_s}
+    return WatchBounds.of(Settings.from_mapping(env))
+
+
+class Driven:
+    """A watch in virtual time: `until` plays on to the next call that it makes."""
+
+    def __init__(self, version: int = 5, **fleet: Any) -> None:
+        self.bounds = bounds_of(**fleet)
+        self.watch = DiscoveryWatch(self.bounds, Random(1))
+        self.now, self.version = 100.0, version
+        self.dropped: list[ListCall] = []
+        self.watch.start(self.now)
+
+    def poll(self) -> list[ListCall]:
+        step = self.watch.poll(self.now, self.version)
+        self.dropped += step.drop
+        return list(step.make)
+
+    def call(self) -> ListCall:
+        """The next call, whenever it is made."""
+        for _ in range(100):
+            if made := self.poll():
+                assert len(made) == 1
+                return made[0]
+            assert self.watch.wakes_at() > self.now
+            self.now = self.watch.wakes_at()
+        raise AssertionError("no further call")
+
+    def answer(self, call: ListCall, version: int | None = None, **said: Any) -> bool:
+        self.version = self.version if version is None else version
+        return self.watch.answered(call, self.version, self.now, **said)
+
+    def watching(self) -> ListCall:
+        """The watch that stands once the first call has been answered."""
+        self.answer(self.call())
+        call = self.call()
+        assert not call.short and call.wait_s == self.bounds.wait_s
+        return call
+
+
+def test_one_call_is_out_while_all_goes_well() -> None:
+    driven = Driven()
+    first = driven.call()
+    assert first.short and first.index == 5
+    driven.now += 0.02
+    assert driven.answer(first)
+    for version in (6, 6, 9):
+        call = driven.call()
+        assert call.wait_s == 10.0 and driven.watch.open_calls == (call,) and call.made_at == driven.now
+        driven.now += 10.0
+        assert driven.answer(call, version)
+    assert not driven.dropped
+
+
+def test_without_a_known_version_the_whole_list_is_asked_for() -> None:
+    driven = Driven(version=-1)
+    assert driven.call().index is None
+
+
+@pytest.mark.parametrize("balancers", FLEETS)
+@pytest.mark.parametrize("ask_within_s", ASK_WITHIN_S)
+def test_after_a_silent_watch_calls_come_within_the_time_that_its_wait_leaves(
+    balancers: int, ask_within_s: float
+) -> None:
+    driven = Driven(balancers=balancers, ask_within_s=ask_within_s)
+    watch = driven.watching()
+    due = watch.made_at + max(watch.wait_s + NOTIFIED_AFTER_WAIT_S, driven.bounds.known_within_s)
+    calls = [driven.call(), driven.call()]
+    assert all(call.short for call in calls) and calls[-1].made_at < due
+    assert calls[0].made_at == watch.made_at + watch.wait_s + ANSWER_MARGIN_S
+    assert watch in driven.watch.open_calls, "still listened to"
+
+
+@pytest.mark.parametrize("balancers", FLEETS)
+@pytest.mark.parametrize("ask_within_s", ASK_WITHIN_S)
+def test_the_worst_sum_of_back_offs_and_limits_is_below_the_notified_time(
+    balancers: int, ask_within_s: float
+) -> None:
+    """Discovery comes back right after a refused call; the next call is lost, the one after it is not."""
+    bounds = bounds_of(balancers, ask_within_s)
+    refused = max(bounds.back_off_s(failures, 1.0) for failures in range(1, 60))
+    assert refused <= bounds.back_off_most_s * (1 + JITTER) + bounds.spread_s
+    assert refused + bounds.limit_most_s < bounds.known_within_s <= NOTIFIED_AFTER_S
+    assert bounds.call_life_s + bounds.limit_most_s < bounds.known_within_s
+
+
+def test_a_silent_discovery_is_asked_again_and_again_by_a_bounded_number_of_calls() -> None:
+    driven = Driven()
+    made = [driven.call() for _ in range(20)]
+    assert len(driven.watch.open_calls) <= MOST_OPEN_CALLS
+    assert all(call.short for call in made)
+    gaps = [later.made_at - earlier.made_at for earlier, later in itertools.pairwise(made)]
+    assert max(gaps) <= driven.bounds.call_life_s
+    assert made[-1].made_at - made[0].made_at >= 6 * driven.bounds.call_life_s, "three calls in a life"
+
+
+def test_a_late_answer_is_taken_in_and_ends_the_calls_before_it_alone() -> None:
+    driven = Driven()
+    first, second, third = driven.call(), driven.call(), driven.call()
+    assert driven.answer(second, 7)
+    driven.poll()
+    assert driven.dropped == [first] and driven.watch.open_calls == (third,)
+    assert not driven.answer(first, 6), "nobody listens to it any more"
+    driven.version = 7
+    assert driven.answer(third, 7)
+    assert not driven.call().short
+
+
+def test_a_failure_of_a_call_that_has_got_company_changes_nothing() -> None:
+    driven = Driven()
+    first, second = driven.call(), driven.call()
+    at = driven.watch.wakes_at()
+    driven.watch.failed(first, Failure.REFUSED, driven.now)
+    assert driven.watch.wakes_at() == at and driven.watch.open_calls == (second,)
+
+
+def test_a_call_after_failures_is_short_until_one_is_answered() -> None:
+    driven = Driven()
+    call = driven.watching()
+    for failures in range(1, 8):
+        driven.watch.failed(call, Failure.REFUSED, driven.now)
+        failed_at = driven.now
+        call = driven.call()
+        assert call.short and call.index == 5
+        assert driven.bounds.back_off_s(failures, 0.0) <= call.made_at - failed_at
+        assert call.made_at - failed_at <= driven.bounds.back_off_s(failures, 1.0)
+    driven.answer(call)
+    assert not driven.call().short
+
+
+def test_a_spoilt_answer_is_asked_for_at_once_and_a_second_one_after_a_back_off() -> None:
+    driven = Driven()
+    call = driven.watching()
+    driven.watch.failed(call, Failure.SPOILT, driven.now)
+    again = driven.call()
+    assert again.made_at == call.made_at and again.short
+    driven.watch.failed(again, Failure.SPOILT, driven.now)
+    assert driven.call().made_at > again.made_at
+
+
+def test_an_incomplete_delta_is_followed_by_the_whole_list_at_once() -> None:
+    driven = Driven()
+    call = driven.watching()
+    driven.answer(call, 6, incomplete=True)
+    whole = driven.call()
+    assert whole.index is None and whole.made_at == driven.now
+    driven.answer(whole, 6)
+    assert driven.call().index == 6
+
+
+def test_a_moved_discovery_is_asked_for_the_whole_list_until_it_has_come() -> None:
+    driven = Driven()
+    old = driven.watching()
+    driven.now += 3.0
+    driven.watch.move(driven.now)
+    moved_at = driven.now
+    calls = [driven.call()]
+    while driven.now - moved_at < NOTIFIED_AFTER_MOVE_S - MOVE_PAUSE_S:
+        driven.watch.failed(calls[-1], Failure.REFUSED, driven.now)
+        calls.append(driven.call())
+        assert calls[-1].made_at - calls[-2].made_at == pytest.approx(MOVE_PAUSE_S)
+    assert all(call.index is None and call.address == 1 for call in calls)
+    assert driven.answer(old, 6) and not driven.dropped, "the old address is heard meanwhile"
+    assert driven.answer(calls[-1], 2)
+    call = driven.call()
+    assert (call.index, call.address, call.short) == (2, 1, False)
+
+
+def test_a_slow_new_address_is_listened_to_for_most_of_the_time_of_a_move() -> None:
+    driven = Driven()
+    driven.watching()
+    driven.watch.move(driven.now)
+    moved_at, first = driven.now, driven.call()
+    while driven.now < moved_at + 2.9:
+        driven.call()
+        driven.now = min(driven.watch.wakes_at(), moved_at + 2.9)
+    assert first in driven.watch.open_calls and driven.answer(first, 9)
+
+
+def test_moves_in_quick_succession_leave_the_last_address() -> None:
+    driven = Driven()
+    driven.watching()
+    calls = []
+    for _ in range(5):
+        driven.now += 0.05
+        driven.watch.move(driven.now)
+        calls.append(driven.call())
+    driven.answer(calls[2], 7)
+    assert driven.watch.wakes_at() > driven.now, "an answer of an earlier address ends nothing"
+    driven.answer(calls[-1], 3)
+    assert driven.call().address == 5
+
+
+def test_a_rest_after_an_answer_with_nothing_newer_is_not_part_of_the_watch() -> None:
+    """Discovery has gone back to an older list, and answers each watch at once: thousands of calls a second.
+    Each rest is longer than the gap in which a watch goes on, and than the one before, up to a bound.
+    """
+    driven = Driven()
+    call = driven.watching()
+    rests = []
+    for _ in range(6):
+        driven.answer(call, 4)
+        before, call = driven.now, driven.call()
+        rests.append(round(call.made_at - before, 3))
+    assert rests == [0.3, 0.6, 1.2, 2.0, 2.0, 2.0] and rests[0] > WATCH_GAP_S
+    driven.now += 5.0  # one that waited says that all is well again
+    driven.answer(call, 4)
+    assert driven.call().made_at == driven.now
+    assert FIRST_REST_S > WATCH_GAP_S
+
+
+def test_lower_settings_end_a_longer_wait() -> None:
+    driven = Driven()
+    watch = driven.watching()
+    driven.now += 1.0
+    driven.watch.retune(bounds_of(ask_within_s=2.0), driven.now)
+    call = driven.call()
+    assert call.short and call.made_at == driven.now <= watch.made_at + 1.0 + 2.0 + ANSWER_MARGIN_S
+
+
+def test_an_agent_is_asked_often_and_without_regard_to_other_senders() -> None:
+    bounds = bounds_of(200, discovery="automatic")
+    assert bounds.spread_s == 0.0 and bounds.wait_s < NOTIFIED_AFTER_WAIT_S + SHORT_WAIT_S
+
+
+def test_a_stopped_watch_makes_no_calls_and_starts_again() -> None:
+    driven = Driven()
+    call = driven.watching()
+    driven.watch.stop()
+    assert not driven.poll() and driven.dropped == [call] and driven.watch.wakes_at() == float("inf")
+    driven.watch.start(driven.now)
+    assert driven.call().made_at == driven.now
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -62,6 +62,10 @@
             "settings": settings(shapes=["one", "two"], grades=grades, discovery="subscribe"),
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(raw))
+        return await self.launch(_fds, **told)
+
+    async def launch(self, _fds: int | None = None, **told: str) -> asyncio.subprocess.Process:
+        """A process on the configuration that is there, once it serves."""
         (self.folder / "state").mkdir(exist_ok=True)
         env = {"GW_CONFIG": str(self.folder / "config.json"), "GW_STATE": str(self.folder / "state")}
 
