Ask anew at once for an answer that may have been written, and wait for half-read ones

Cause: a watch whose connection is reset may have been answered: what discovery wrote counts as notified, though the reset took it along. DiscoveryWatch.failed took such an end for a refusal and waited for a back-off of 0.25 s and more. Likewise a half-read list let calls go between its pieces (ListExchange.unread looked at the socket alone), and Client.exchange (relays, notices) threw an answer away that came in the very turn of the loop in which its time was over: the time-out cancels the task after the future has its result.

--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -273,6 +273,11 @@
         poll.register(sock.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether a part of an answer has been read, and not all of it."""
+        return not self._parser.clean
+
     def begin(self, data: bytes, finished: Callable[[Message, bool], None]) -> None:
         """Send a call. `finished` gets what came back and whether the last byte had been written."""
         assert self.state is State.IDLE and self._transport is not None
@@ -393,7 +398,12 @@
         try:
             async with asyncio.timeout(limit):
                 message = await answer
-        except (TimeoutError, asyncio.CancelledError):
+        except TimeoutError:
+            connection.close()
+            if not answer.done() or answer.cancelled():
+                raise
+            message = answer.result()  # it came in the very turn in which the time was over
+        except asyncio.CancelledError:
             connection.close()
             raise
         if connection.overdue:
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -85,12 +85,13 @@
             why = "stopped" if connection is not None and connection.overdue else "broke off"
             self._discovery.failed(self, Failure.SPOILT, f"the answer {why} half-way")
         else:
-            self._discovery.failed(self, Failure.REFUSED, "the connection ended without an answer")
+            self._discovery.failed(self, Failure.BROKEN, "the connection ended without an answer")
 
     @property
     def unread(self) -> bool:
-        """Whether discovery has written something that has not been read yet."""
-        return self._connection is not None and not self._connection.silent
+        """Whether discovery has begun to write an answer that has not been read to its end yet."""
+        connection = self._connection
+        return connection is not None and (connection.answer_begun or not connection.silent)
 
     def close(self) -> None:
         """Nobody listens to the answer any more."""
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -35,7 +35,8 @@
 class Failure(Enum):
     """How a call failed."""
 
-    REFUSED = "refused"  # no connection, another status than 200, or an end before any answer
+    REFUSED = "refused"  # no connection, or another status than 200: nothing of the list was written
+    BROKEN = "broken"  # asked, and the connection ended: an answer may have been written and lost with it
     SPOILT = "spoilt"  # an answer had begun and broke off, or could not be read
 
 
@@ -70,7 +71,7 @@
     failures: int = 0  # calls that failed
     short_calls: int = 0  # calls to be answered at once that were made
     lost: bool = False  # a call has failed or fallen silent: the next ones are short
-    spoilt: bool = False  # an answer was spoilt, and asked for anew at once
+    asked_again: bool = False  # an answer that may have been written was asked for anew at once
     repeats: int = 0  # watches answered at once with nothing newer
 
 
@@ -196,8 +197,8 @@
         state = self._since_answer
         state.lost = True
         state.failures += 1
-        if failure is Failure.SPOILT and not state.spoilt:
-            state.spoilt = True  # what it told counts as notified already
+        if failure is not Failure.REFUSED and not state.asked_again:
+            state.asked_again = True  # what it told counts as notified already
             self._next_at = now
         elif now - self._moved_at < NOTIFIED_AFTER_MOVE_S and self._whole:
             self._next_at = now + MOVE_PAUSE_S
--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -12,7 +12,7 @@
 import pytest
 
 from mountgauge.core.config import Address, MapUpdate
-from mountgauge.http1 import Message, response
+from mountgauge.http1 import Client, Message, request, response
 from mountgauge.platform.discovery import TransportMap
 from tests.helper import HOST, HttpServer, run, until
 from tests.test_peers import NAMES, Owner, bounds, listing
@@ -300,3 +300,23 @@
             await world.discovery.called(3)
 
     run(main())
+
+
+def test_an_answer_that_comes_in_the_turn_in_which_its_time_is_over_counts() -> None:
+    """The loop is held up until both are due, and hears the socket first."""
+
+    async def main() -> None:
+        discovery = Discovery()
+        await discovery.start()
+        client, limit = Client(HOST, discovery.port), 0.2
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        asking = asyncio.create_task(client.exchange(request("GET", "/x", HOST, {}), limit))
+        (await discovery.called(1)).write(response(200, "OK", {}, b"news"))
+        while loop.time() < began + limit + 0.2:
+            pass
+        assert (await asking).body == b"news"
+        client.close()
+        await discovery.stop()
+
+    run(main())
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -162,13 +162,16 @@
     assert not driven.call().short
 
 
-def test_a_spoilt_answer_is_asked_for_at_once_and_a_second_one_after_a_back_off() -> None:
+@pytest.mark.parametrize("failure", [Failure.SPOILT, Failure.BROKEN])
+def test_an_answer_that_may_have_been_written_is_asked_for_at_once_and_then_after_a_back_off(
+    failure: Failure,
+) -> None:
     driven = Driven()
     call = driven.watching()
-    driven.watch.failed(call, Failure.SPOILT, driven.now)
+    driven.watch.failed(call, failure, driven.now)
     again = driven.call()
     assert again.made_at == call.made_at and again.short
-    driven.watch.failed(again, Failure.SPOILT, driven.now)
+    driven.watch.failed(again, failure, driven.now)
     assert driven.call().made_at > again.made_at
 
 
