--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.known_red import pass_over, report
 from tests.rigs import RIGS
 
 _JUDGE = {
@@ -33,6 +34,11 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     items.sort(key=_rank)
+    pass_over(items)
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    report(terminalreporter)
 
 
 def pytest_collection_finish(session: pytest.Session) -> None:
