Let the test of a warm-up that goes on reach what it is to test

Cause: in test_two_failures_do_not_start_a_warm_up_over the second message was held back and never failed, so the test passed on a mutant that starts the warm-up over for two failures.

Change: the limit is listed, and each failure asserts that its call went out.

--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -150,8 +150,9 @@
     d.now += gap
     d.advance(d.now)
     d.incoming(msg)
-    if msg in d.held and any(one == msg for one, _ in d.pending()):
-        d.respond(msg, Outcome.ERROR)
+    d.advance(d.now + 0.2)  # behind the next try of the one before
+    assert (msg, 0) in d.pending(), "it was sent"
+    d.respond(msg, Outcome.ERROR)
 
 
 def test_two_failures_in_a_row_and_no_answer_for_longer_than_a_push_over_are_an_outage() -> None:
@@ -168,8 +169,8 @@
 
 def test_two_failures_do_not_start_a_warm_up_over() -> None:
     """At a destination that fails a part of its calls for long, a thin sender would never be warm."""
-    d = Driver(settings())
-    d.targets(ListKind.CACHED, entry(1))
+    d = Driver(settings(weights="nominal"))
+    d.targets(ListKind.CACHED, entry(1, scale=RATE))
     d.incoming(1)
     d.respond(1, Outcome.OK)
     route = d.policy.dests[0].route
