--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -20,7 +20,7 @@
 from mountgauge.lab.scale import capacity_page, command, page
 from mountgauge.lab.scale.kept import SCALE, KeptError
 from mountgauge.lab.scale.live import ComparisonError
-from mountgauge.lab.scale.runner import RunStopped
+from mountgauge.lab.scale.runner import RunStoppedError
 from mountgauge.lab.scale.settings import load
 
 SETTINGS = ROOT / "experiments" / "scale"
@@ -56,7 +56,7 @@
     except (ConfigError, KeptError) as error:
         print(error, file=sys.stderr)
         return 2
-    except (RunStopped, ComparisonError) as error:
+    except (RunStoppedError, ComparisonError) as error:
         print(error, file=sys.stderr)
         return 1
 
--- a/mountgauge/lab/scale/command.py
+++ b/mountgauge/lab/scale/command.py
@@ -11,7 +11,7 @@
 
 from mountgauge.lab.scale.live import ComparisonError, compare
 from mountgauge.lab.scale.results import ScaleResult, broken_bounds, slopes, with_io
-from mountgauge.lab.scale.runner import RunStopped, play_sizes
+from mountgauge.lab.scale.runner import RunStoppedError, play_sizes
 from mountgauge.lab.scale.settings import ScaleSettings, load
 
 EXIT_HELD, EXIT_BROKEN = 0, 1
@@ -29,7 +29,7 @@
 def measure(
     settings: ScaleSettings, file: Path, real: bool, show: Callable[[str], None] = print
 ) -> ScaleResult:
-    """Play all sizes of a file, and compare; RunStopped or ComparisonError where it cannot go on."""
+    """Play all sizes of a file, and compare; RunStoppedError or ComparisonError where it cannot go on."""
     sizes = tuple(play_sizes(settings, file, show))
     compared = compare(settings.real, settings.seed, show) if real and settings.real.senders else None
     if compared is not None:
@@ -53,7 +53,7 @@
     folder = args.out or Path("runs") / f"scale-{args.file.stem}-{settings.seed}"
     try:
         result = measure(settings, args.file, not args.no_real)
-    except (RunStopped, ComparisonError) as error:
+    except (RunStoppedError, ComparisonError) as error:
         print(f"mountgauge: {error}", file=sys.stderr)
         return EXIT_BROKEN
     folder.mkdir(parents=True, exist_ok=True)
--- a/mountgauge/lab/scale/runner.py
+++ b/mountgauge/lab/scale/runner.py
@@ -23,7 +23,7 @@
 _MACHINE_SHARE = 0.5  # of the machine's memory under which a run stays
 
 
-class RunStopped(RuntimeError):
+class RunStoppedError(RuntimeError):
     """The run cannot go on; the text is one line."""
 
 
@@ -54,7 +54,7 @@
     _messages: queue.Queue[_Message] = field(default_factory=queue.Queue)
 
     def play(self) -> list[SizeResult]:
-        """The results by size; RunStopped where memory runs out or a process fails."""
+        """The results by size; RunStoppedError where memory runs out or a process fails."""
         self.show(TABLE_HEADER)
         waiting = sorted(range(len(self.settings.sizes)), key=lambda place: self.settings.sizes[place])
         try:
@@ -99,7 +99,7 @@
         child.ended = True
         if child.process.wait() != 0 or child.result is None:
             code = child.process.returncode
-            raise RunStopped(f"{child.size.senders} senders: the process ended with {code}")
+            raise RunStoppedError(f"{child.size.senders} senders: the process ended with {code}")
 
     def _take(self, child: _Child, raw: dict[str, Any]) -> None:
         if "progress" in raw:
@@ -114,9 +114,9 @@
         machine = machine_memory()
         most = min(self.settings.most_memory_gb * 1e9, _MACHINE_SHARE * machine.total)
         if used > most:
-            raise RunStopped(f"stopped: {used / 1e9:.1f} GB in use, {most / 1e9:.1f} GB are allowed")
+            raise RunStoppedError(f"stopped: {used / 1e9:.1f} GB in use, {most / 1e9:.1f} GB are allowed")
         if machine.used_share > _MACHINE_SHARE:
-            raise RunStopped(f"stopped: {machine.used_share:.0%} of the machine's memory is in use")
+            raise RunStoppedError(f"stopped: {machine.used_share:.0%} of the machine's memory is in use")
 
     def _end_children(self) -> None:
         for child in self._children:
--- a/mountgauge/relay/wire.py
+++ b/mountgauge/relay/wire.py
@@ -43,7 +43,7 @@
     EndpointState,
     ShardDelta,
     ShardSnapshot,
-    UnreadableRecord,
+    UnreadableRecordError,
 )
 
 PATH = "/registry/shards"
@@ -237,7 +237,7 @@
 def _record(line: object) -> EndpointRecord:
     try:
         return EndpointRecord.from_line(line)
-    except UnreadableRecord as error:
+    except UnreadableRecordError as error:
         raise UnreadableMessageError(str(error)) from None
 
 
--- a/mountgauge/sharding/list_watch.py
+++ b/mountgauge/sharding/list_watch.py
@@ -18,7 +18,7 @@
     EndpointRecord,
     EndpointState,
     ShardSnapshot,
-    UnreadableRecord,
+    UnreadableRecordError,
     digest_of,
     shard_of,
 )
@@ -29,7 +29,7 @@
 SOURCE = "discovery"
 
 
-class UnreadableList(ValueError):
+class UnreadableListError(ValueError):
     """An answer of discovery isn't a list of endpoints; the text is one line for the operator."""
 
 
@@ -74,7 +74,7 @@
         self._out = None
         try:
             update = self._take_in(call, body, now)
-        except UnreadableList as error:
+        except UnreadableListError as error:
             self._pause(now)
             return Update(rejections=(Rejection(SOURCE, str(error)),))
         self._failures = 0
@@ -99,9 +99,9 @@
     def _take_in(self, call: ListCall, body: object, now: float) -> Update:
         version, full, lines = _fields(body)
         if version < self.store.as_of:
-            raise UnreadableList(f"version went back from {self.store.as_of} to {version}")
+            raise UnreadableListError(f"version went back from {self.store.as_of} to {version}")
         if call.index is None and not full:
-            raise UnreadableList("changes, where the whole list was asked for")
+            raise UnreadableListError("changes, where the whole list was asked for")
         records, bad, rejections = self._read(lines, full)
         changed = self._whole(version, records, bad) if full else self._delta(version, records, bad)
         uncovered = bad | (set(self.store.apart()) - changed if not full else set())
@@ -124,16 +124,16 @@
             try:
                 record = EndpointRecord.from_line(line)
                 if full and record.id in records:
-                    raise UnreadableRecord(f"endpoint {record.id[:80]!r}: listed twice")
+                    raise UnreadableRecordError(f"endpoint {record.id[:80]!r}: listed twice")
                 if full and record.state is EndpointState.LEFT:
-                    raise UnreadableRecord(f"endpoint {record.id[:80]!r}: left, in a whole list")
-            except UnreadableRecord as error:
+                    raise UnreadableRecordError(f"endpoint {record.id[:80]!r}: left, in a whole list")
+            except UnreadableRecordError as error:
                 bad |= self._shards_of_bad(line, records, str(error))
                 rejections.append(Rejection(SOURCE, str(error)))
                 continue
             records[record.id] = record
         if full and lines and not records:
-            raise UnreadableList(f"no line can be read: {rejections[0].reason}")
+            raise UnreadableListError(f"no line can be read: {rejections[0].reason}")
         return records, bad, rejections
 
     def _shards_of_bad(self, line: object, records: Mapping[str, EndpointRecord], reason: str) -> set[int]:
@@ -147,7 +147,7 @@
             if isinstance(cell, int) and not isinstance(cell, bool) and cell >= 0:
                 found.add(self._shard_of(cell))
         if not found:
-            raise UnreadableList(reason)
+            raise UnreadableListError(reason)
         return found
 
     def _shard_of(self, destination: int) -> int:
@@ -223,10 +223,10 @@
 def _fields(body: object) -> tuple[int, bool, list[Any]]:
     """Version, whether it is whole, and the lines."""
     if not isinstance(body, Mapping):
-        raise UnreadableList(f"not a list of endpoints: {str(body)[:80]!r}")
+        raise UnreadableListError(f"not a list of endpoints: {str(body)[:80]!r}")
     version, full, lines = body.get("version"), body.get("full"), body.get("servers")
     if not isinstance(version, int) or isinstance(version, bool) or version < 0:
-        raise UnreadableList(f"not a version: {str(version)[:80]!r}")
+        raise UnreadableListError(f"not a version: {str(version)[:80]!r}")
     if not isinstance(full, bool) or not isinstance(lines, list):
-        raise UnreadableList("not a list of endpoints: full or servers missing")
+        raise UnreadableListError("not a list of endpoints: full or servers missing")
     return version, full, lines
--- a/mountgauge/sharding/picker.py
+++ b/mountgauge/sharding/picker.py
@@ -25,14 +25,14 @@
     zone: str
 
 
-class NoRelays(ValueError):
+class NoRelaysError(ValueError):
     """There is none to ask."""
 
 
 class Picker:
     def __init__(self, relays: Sequence[RelayName], zone: str, timing: Timing, rng: Random) -> None:
         if not relays:
-            raise NoRelays("no relays are listed")
+            raise NoRelaysError("no relays are listed")
         own = [one for one in relays if one.zone == zone]
         others = [one for one in relays if one.zone != zone]
         rng.shuffle(own)
--- a/mountgauge/sharding/shards.py
+++ b/mountgauge/sharding/shards.py
@@ -21,7 +21,7 @@
 _MASK = (1 << 64) - 1
 
 
-class UnreadableRecord(ValueError):
+class UnreadableRecordError(ValueError):
     """A line of the list is not one of an endpoint; the text is one line for the operator."""
 
 
@@ -48,7 +48,7 @@
     def from_line(cls, line: object) -> EndpointRecord:
         """A line as discovery sends it, checked."""
         if not isinstance(line, Mapping):
-            raise UnreadableRecord(f"not an endpoint: {str(line)[:80]!r}")
+            raise UnreadableRecordError(f"not an endpoint: {str(line)[:80]!r}")
         try:
             record = cls(
                 id=_text(line, "id"),
@@ -62,9 +62,9 @@
             )
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             text = f"missing {error}" if isinstance(error, KeyError) else str(error)
-            raise UnreadableRecord(f"endpoint {str(line.get('id'))[:80]!r}: {text[:120]}") from None
+            raise UnreadableRecordError(f"endpoint {str(line.get('id'))[:80]!r}: {text[:120]}") from None
         if not (math.isfinite(record.weight) and record.weight >= 0):
-            raise UnreadableRecord(f"endpoint {record.id[:80]!r}: weight {record.weight}")
+            raise UnreadableRecordError(f"endpoint {record.id[:80]!r}: weight {record.weight}")
         return record
 
     def line(self) -> dict[str, Any]:
--- a/mountgauge/sharding/store.py
+++ b/mountgauge/sharding/store.py
@@ -29,19 +29,19 @@
 STOPS_KEPT = 10_000  # versions from which deltas start
 
 
-class RefusedChange(ValueError):
+class RefusedChangeError(ValueError):
     """A change of a shard that can't be taken in; the text is one line for the operator."""
 
 
-class StaleVersion(RefusedChange):
+class StaleVersion(RefusedChangeError):
     """It would lead back."""
 
 
-class VersionGap(RefusedChange):
+class VersionGap(RefusedChangeError):
     """It starts from a version past the one that is held."""
 
 
-class DigestMismatch(RefusedChange):
+class DigestMismatch(RefusedChangeError):
     """It doesn't lead to the content that it names."""
 
 
--- a/mountgauge/sharding/subscription.py
+++ b/mountgauge/sharding/subscription.py
@@ -28,7 +28,7 @@
 )
 from mountgauge.sharding.picker import Picker
 from mountgauge.sharding.shards import NOTHING, EndpointRecord, ShardSnapshot
-from mountgauge.sharding.store import Knowledge, RecordChange, RefusedChange, ShardStore
+from mountgauge.sharding.store import Knowledge, RecordChange, RefusedChangeError, ShardStore
 from mountgauge.sharding.timing import Timing
 from mountgauge.sharding.upstream import NO_UPDATE, Lane, Rejection, RelayCall, Update
 
@@ -366,7 +366,7 @@
                     done = self.store.apply_snapshot(change)
                 else:
                     done = self.store.apply_delta(change)
-            except RefusedChange as error:
+            except RefusedChangeError as error:
                 found.rejections.append(Rejection(call.relay, str(error)))
                 rejected.add(shard)
                 self._whole.add(shard)
--- a/tests/sharding/test_shards.py
+++ b/tests/sharding/test_shards.py
@@ -9,7 +9,7 @@
 from mountgauge.sharding.shards import (
     EndpointRecord,
     EndpointState,
-    UnreadableRecord,
+    UnreadableRecordError,
     digest_of,
     mix,
     shard_of,
@@ -42,7 +42,7 @@
     ],
 )  # fmt: skip
 def test_a_line_that_cannot_be_read_is_one_clear_line(change: dict[str, object]) -> None:
-    with pytest.raises(UnreadableRecord) as caught:
+    with pytest.raises(UnreadableRecordError) as caught:
         EndpointRecord.from_line({**LINE, **change})
     assert "\n" not in str(caught.value) and str(caught.value).startswith("endpoint ")
 
--- a/tests/sharding/test_store.py
+++ b/tests/sharding/test_store.py
@@ -18,7 +18,7 @@
 )
 from mountgauge.sharding.store import (
     DigestMismatch,
-    RefusedChange,
+    RefusedChangeError,
     ShardStore,
     StaleVersion,
     Standing,
@@ -163,7 +163,7 @@
     ],
 )
 def test_a_change_that_is_refused_leaves_all_as_it_was(
-    change: ShardDelta | ShardSnapshot, error: type[RefusedChange]
+    change: ShardDelta | ShardSnapshot, error: type[RefusedChangeError]
 ) -> None:
     store = filled()
     with pytest.raises(error) as caught:
--- a/tests/sharding/test_subscription.py
+++ b/tests/sharding/test_subscription.py
@@ -16,7 +16,7 @@
     Refusal,
     RefusalReason,
 )
-from mountgauge.sharding.picker import NoRelays, Picker, RelayName
+from mountgauge.sharding.picker import NoRelaysError, Picker, RelayName
 from mountgauge.sharding.shards import (
     EndpointRecord,
     EndpointState,
@@ -203,7 +203,7 @@
         picker.failed(100.0)
         longest = max(longest, picker.ready_at() - 100.0)
     assert 0.9 * TIMING.longest_pause_s < longest <= TIMING.longest_pause_s
-    with pytest.raises(NoRelays):
+    with pytest.raises(NoRelaysError):
         Picker([], "z9", TIMING, Random(1))
 
 
