--- a/mountgauge/sharding/store.py
+++ b/mountgauge/sharding/store.py
@@ -4,8 +4,8 @@
 are as of one version, the store's own; those that aren't have an entry of their own in `_apart`, so that
 moving on costs what has changed and not what is held.
 
-Versions never go back: a change below what is held is refused (`StaleVersion`), one that starts above it too
-(`VersionGap`), and one that doesn't lead to the content that it names (`DigestMismatch`). A refused change
+Versions never go back: a change below what is held is refused (`StaleVersionError`), one that starts above it too
+(`VersionGapError`), and one that doesn't lead to the content that it names (`DigestMismatchError`). A refused change
 leaves all as it was.
 """
 
@@ -33,15 +33,15 @@
     """A change of a shard that can't be taken in; the text is one line for the operator."""
 
 
-class StaleVersion(RefusedChangeError):
+class StaleVersionError(RefusedChangeError):
     """It would lead back."""
 
 
-class VersionGap(RefusedChangeError):
+class VersionGapError(RefusedChangeError):
     """It starts from a version past the one that is held."""
 
 
-class DigestMismatch(RefusedChangeError):
+class DigestMismatchError(RefusedChangeError):
     """It doesn't lead to the content that it names."""
 
 
@@ -145,12 +145,16 @@
         known, held = self.knowledge(delta.shard), self._shards.get(delta.shard)
         version = known.version
         if held is None or delta.base > version:
-            raise VersionGap(f"shard {delta.shard}: delta from version {delta.base}, held is {version}")
+            raise VersionGapError(f"shard {delta.shard}: delta from version {delta.base}, held is {version}")
         if delta.version < version:
-            raise StaleVersion(f"shard {delta.shard}: delta to version {delta.version}, held is {version}")
+            raise StaleVersionError(
+                f"shard {delta.shard}: delta to version {delta.version}, held is {version}"
+            )
         change, digest = self._effect(held, delta)
         if digest != delta.digest:
-            raise DigestMismatch(f"shard {delta.shard}: delta to version {delta.version} has another content")
+            raise DigestMismatchError(
+                f"shard {delta.shard}: delta to version {delta.version} has another content"
+            )
         self._take(delta.shard, held, _Change(delta.version, delta.put, delta.gone), digest)
         self._apart[delta.shard] = Knowledge(delta.version, known.confirmed_at)
         return change
@@ -159,11 +163,13 @@
         """Take in a whole shard; its log starts anew."""
         shard, known = snapshot.shard, self.knowledge(snapshot.shard)
         if snapshot.version < known.version:
-            raise StaleVersion(
+            raise StaleVersionError(
                 f"shard {shard}: snapshot at version {snapshot.version}, held is {known.version}"
             )
         if digest_of(snapshot.records) != snapshot.digest:
-            raise DigestMismatch(f"shard {shard}: snapshot at version {snapshot.version} has another content")
+            raise DigestMismatchError(
+                f"shard {shard}: snapshot at version {snapshot.version} has another content"
+            )
         held = self._shards.get(shard) or _Shard(NOTHING, NOTHING)
         records = {one.id: one for one in snapshot.records}
         put = tuple(one for one in snapshot.records if held.records.get(one.id) != one)
--- a/tests/sharding/test_store.py
+++ b/tests/sharding/test_store.py
@@ -17,12 +17,12 @@
     shard_of,
 )
 from mountgauge.sharding.store import (
-    DigestMismatch,
+    DigestMismatchError,
     RefusedChangeError,
     ShardStore,
-    StaleVersion,
+    StaleVersionError,
     Standing,
-    VersionGap,
+    VersionGapError,
 )
 from mountgauge.sharding.timing import Timing
 from tests.sharding.network import World
@@ -153,13 +153,13 @@
 @pytest.mark.parametrize(
     "change, error",
     [
-        (delta(6, 7), VersionGap),
-        (delta(3, 4), StaleVersion),
-        (delta(5, 6, digest=1), DigestMismatch),
-        (delta(5, 6, put=()), DigestMismatch),
-        (snapshot(4, record("a", 1)), StaleVersion),
-        (replace(snapshot(6, record("a", 1)), digest=1), DigestMismatch),
-        (replace(delta(5, 6), shard=0), VersionGap),
+        (delta(6, 7), VersionGapError),
+        (delta(3, 4), StaleVersionError),
+        (delta(5, 6, digest=1), DigestMismatchError),
+        (delta(5, 6, put=()), DigestMismatchError),
+        (snapshot(4, record("a", 1)), StaleVersionError),
+        (replace(snapshot(6, record("a", 1)), digest=1), DigestMismatchError),
+        (replace(delta(5, 6), shard=0), VersionGapError),
     ],
 )
 def test_a_change_that_is_refused_leaves_all_as_it_was(
