--- a/mountgauge/cli.py
+++ b/mountgauge/cli.py
@@ -215,6 +215,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
+    """Run one sub-command; return the exit code."""
     words = sys.argv[1:] if argv is None else list(argv)
     try:
         if words[:1] == ["lab"]:
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -49,6 +49,8 @@
 
 
 class Sender:
+    """The core of one sender: takes messages on, gives events to the module, carries its actions out."""
+
     def __init__(
         self,
         policy: Policy,
--- a/mountgauge/run/operator.py
+++ b/mountgauge/run/operator.py
@@ -39,6 +39,8 @@
 
 
 class TenantsSubsystem(Subsystem):
+    """Counts of tenants, shared with the fleet's other members."""
+
     name = "tenants"
 
     def __init__(self, tenants: Tenants) -> None:
@@ -83,6 +85,8 @@
 
 
 class StatusSubsystem(Subsystem):
+    """The status server on loopback."""
+
     name = "status"
 
     def __init__(self, server: StatusServer, address: Address) -> None:
@@ -96,6 +100,8 @@
 
 
 class OtlpSubsystem(Subsystem):
+    """Metrics sent over OTLP."""
+
     name = "otlp"
 
     def __init__(self, runtime: OperatorRuntime, otlp: Otlp) -> None:
@@ -122,6 +128,8 @@
 
 
 class OperatorRuntime(Runtime):
+    """A sender as an operator's file sets it up."""
+
     def __init__(self, operator: Operator, watch: TurnWatch | None = None) -> None:
         super().__init__(operator.config, operator.notices)
         self.operator = operator
--- a/mountgauge/sharding/admission.py
+++ b/mountgauge/sharding/admission.py
@@ -26,6 +26,8 @@
 
 
 class SnapshotAdmission:
+    """Spreads the snapshots that are asked for over time: so many a second, and a burst."""
+
     def __init__(self, per_s: float, burst: int) -> None:
         self._per_s, self._burst = per_s, burst
         self._next_free = 0.0  # when what was given out, or promised, is worked off
--- a/mountgauge/sharding/list_watch.py
+++ b/mountgauge/sharding/list_watch.py
@@ -34,6 +34,8 @@
 
 
 class ListWatch:
+    """Follows discovery's list by index and wait, and keeps it in the store by shard."""
+
     def __init__(self, store: ShardStore, timing: Timing, rng: Random) -> None:
         self.store, self._timing, self._rng = store, timing, rng
         self._shards: dict[str, int] = {}  # by endpoint id
--- a/mountgauge/sharding/members.py
+++ b/mountgauge/sharding/members.py
@@ -43,6 +43,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberFile:
+    """The operators' list of members, epoch by epoch, from `base_epoch` on."""
+
     epoch: int
     members: tuple[Member, ...]
     base_epoch: int = 1
--- a/mountgauge/sharding/messages.py
+++ b/mountgauge/sharding/messages.py
@@ -74,6 +74,8 @@
 
 
 class RefusalReason(Enum):
+    """Why a relay does not answer for now."""
+
     NOT_READY = "not_ready"  # it has no whole picture yet
     BUSY = "busy"  # come again after the told wait
 
--- a/mountgauge/sharding/picker.py
+++ b/mountgauge/sharding/picker.py
@@ -21,6 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayName:
+    """A relay and the zone that it serves in."""
+
     name: str
     zone: str
 
@@ -30,6 +32,8 @@
 
 
 class Picker:
+    """Chooses the relay to ask: those of the own zone first, another one after a failure."""
+
     def __init__(self, relays: Sequence[RelayName], zone: str, timing: Timing, rng: Random) -> None:
         if not relays:
             raise NoRelaysError("no relays are listed")
--- a/mountgauge/sharding/placement.py
+++ b/mountgauge/sharding/placement.py
@@ -34,6 +34,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
+    """How many shards and replicas there are, and how many move in one step."""
+
     shard_count: int
     replicas: int = DEFAULT_REPLICAS
     step_moves: int = DEFAULT_STEP_MOVES  # replicas that move in one step
@@ -57,6 +59,7 @@
 
 
 def group_name(zone: str, part: int) -> str:
+    """The name of one group of members of a zone."""
     return f"{zone}/{part}"
 
 
@@ -130,6 +133,8 @@
 
 
 class Placement:
+    """Which members hold which shard, brought from epoch to epoch in small steps."""
+
     def __init__(self, file: MemberFile, settings: PlacementSettings) -> None:
         """Worked out from `base_epoch` on, with all that has changed since done."""
         self.settings = settings
--- a/mountgauge/sharding/rebalance.py
+++ b/mountgauge/sharding/rebalance.py
@@ -50,6 +50,8 @@
 
 
 class Balance:
+    """The weights of groups and members while replicas are moved between them."""
+
     def __init__(self, table: Table, members: Mapping[str, Placed], replicas: int) -> None:
         """`replicas`: of each shard; at most the number of groups."""
         self.table, self.replicas = table, replicas
--- a/mountgauge/sharding/relay.py
+++ b/mountgauge/sharding/relay.py
@@ -41,6 +41,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RelaySettings:
+    """The bounds of what a relay gives out and holds."""
+
     snapshots_per_s: float = 2_000.0
     snapshot_burst: int = 2_000
     most_held: int = 8_192  # asks
@@ -78,6 +80,8 @@
 
 
 class Relay:
+    """Answers those who follow shards, from what it follows itself."""
+
     def __init__(
         self, name: str, upstream: Subscription | ListWatch, settings: RelaySettings,
         placement: Placement | None = None, run: int = 0,
--- a/mountgauge/sharding/shards.py
+++ b/mountgauge/sharding/shards.py
@@ -26,6 +26,8 @@
 
 
 class EndpointState(Enum):
+    """What discovery says of an endpoint."""
+
     ACTIVE = "active"
     LEAVING = "leaving"  # it finishes what it has
     LEFT = "left"  # only among changes: the record is no more
--- a/mountgauge/sharding/store.py
+++ b/mountgauge/sharding/store.py
@@ -89,6 +89,8 @@
 
 
 class ShardStore:
+    """The records of the held shards, their versions, and the changes that led there."""
+
     def __init__(self, shard_count: int, log_limit: int = DEFAULT_LOG_LIMIT) -> None:
         self.shard_count = shard_count
         self.as_of = NOTHING  # of all shards that have no knowledge of their own
--- a/mountgauge/sharding/upstream.py
+++ b/mountgauge/sharding/upstream.py
@@ -15,6 +15,8 @@
 
 
 class Lane(Enum):
+    """Which of the two connections to a relay a call goes on."""
+
     WATCH = "watch"  # held until there is news
     FETCH = (
         "fetch"  # answered at once: shards that aren't held yet, or that a delta couldn't bring up to date
