--- a/mountgauge/sharding/store.py
+++ b/mountgauge/sharding/store.py
@@ -4,9 +4,9 @@
 are as of one version, the store's own; those that aren't have an entry of their own in `_apart`, so that
 moving on costs what has changed and not what is held.
 
-Versions never go back: a change below what is held is refused (`StaleVersionError`), one that starts above it too
-(`VersionGapError`), and one that doesn't lead to the content that it names (`DigestMismatchError`). A refused change
-leaves all as it was.
+Versions never go back: a change below what is held is refused (`StaleVersionError`), one that starts above it
+too (`VersionGapError`), and one that doesn't lead to the content that it names (`DigestMismatchError`). A
+refused change leaves all as it was.
 """
 
 from __future__ import annotations
