Judge drains by every clause of the rule, not by written lists alone

The rig's rule `drain` knew only lists that discovery had written to a member.

- `list_history.py` reads its input from the run's events; `list_calls.py` records a member's calls for the list at its own side of the link, so those that a silence swallows are known too.
- Faults: `discovery-torn` (answers reset half-way), `move-discovery` (a new address in the member's file, then SIGHUP), `half_open` on a silent link to discovery (what it meets stays silent, a dial in it never comes up), `fleet.discovery = "automatic"` (pushed lists).

--- a/mountgauge/lab/rig/events.py
+++ b/mountgauge/lab/rig/events.py
@@ -21,6 +21,10 @@
     the end that the platform was told; told: a list was written to a member; list-call; fault; start,
     ready, gone: a process; lag: the rig's own loop was late, so that calls came in a clump; log: a line of
     a member's log; bears: what a partner bears now.
+
+    Of the list: change: discovery has a new version; discovery, discovery-link: how it and a member's way
+    to it fare from then on; known: the list that a process is started with; sighup; list-ask, list-end: a
+    member's call as it makes it, and its connection's end; list-failed, dial-refused: one that failed.
     """
 
     at: float
--- a/mountgauge/lab/rig/files.py
+++ b/mountgauge/lab/rig/files.py
@@ -124,7 +124,7 @@
         "balancers": fleet.counted,
         "zone": 0,
         "tick": 0.005,
-        "discovery": "subscribe",
+        "discovery": fleet.discovery,
         "weights": "nominal",
         "grades": grades,
         "localities": [],
--- /dev/null
+++ b/mountgauge/lab/rig/list_calls.py
@@ -0,0 +1,43 @@
+"""A member's calls for the list, as the member makes them: what its link to discovery swallows too."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs, urlsplit
+
+from mountgauge.lab.rig.events import Events
+
+PATH = "/registry/instances"
+_BEGIN = b"GET " + PATH.encode()
+
+
+def read_wait(path: str) -> tuple[bool, float]:
+    """Whether a call for the list is a watch, and how long (s) it may wait for news."""
+    pairs = parse_qs(urlsplit(path).query)
+    return "index" in pairs, int(pairs.get("wait", ["0"])[0]) / 1000
+
+
+class ListCallRecorder:
+    """The watcher of one member's link to discovery, on which its notices go as well."""
+
+    def __init__(self, member: str, link: str, events: Events) -> None:
+        self._member, self._link, self._events = member, link, events
+        self._asked: set[int] = set()  # connections on which the list was asked for
+
+    def said(self, connection: int, data: bytes) -> None:
+        if data.startswith(_BEGIN):
+            self._asked.add(connection)
+            watch, wait_s = read_wait(data.split(b" ", 2)[1].decode())
+            self._events.add(
+                "list-ask", member=self._member, connection=self._name(connection), watch=watch, wait_s=wait_s
+            )
+
+    def closed(self, connection: int) -> None:
+        if connection in self._asked:
+            self._asked.discard(connection)
+            self._events.add("list-end", member=self._member, connection=self._name(connection))
+
+    def refused(self) -> None:
+        self._events.add("dial-refused", member=self._member)
+
+    def _name(self, connection: int) -> str:
+        return f"{self._link}/{connection}"
--- /dev/null
+++ b/mountgauge/lab/rig/list_history.py
@@ -0,0 +1,200 @@
+"""What discovery changed and what each process of a member could know of it, read out of a run's events."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from mountgauge.lab.rig.events import Event
+from mountgauge.lab.rig.notified import Change, Life, ListCall, Slowness, Span
+
+
+class OpenSpans:
+    """Spans of which the last may still run."""
+
+    def __init__(self) -> None:
+        self.closed: list[Span] = []
+        self._since: float | None = None
+
+    def set(self, on: bool, at: float) -> None:
+        if on and self._since is None:
+            self._since = at
+        elif not on and self._since is not None:
+            self.closed.append(Span(self._since, at))
+            self._since = None
+
+    @property
+    def all(self) -> list[Span]:
+        return self.closed if self._since is None else [*self.closed, Span(self._since)]
+
+
+@dataclass(eq=False)
+class Process:
+    """One process of a member."""
+
+    began: float
+    known: int
+    ready: float = math.inf
+    ended: float = math.inf
+    calls: list[ListCall] = field(default_factory=list)
+    moves: list[float] = field(default_factory=list)
+    _out_on: str | None = None  # connection of the call that is out
+
+    def asked(self, at: float, connection: str, wait_s: float) -> None:
+        self.failed(at)
+        self.calls.append(ListCall(at, wait_s))
+        self._out_on = connection
+
+    def failed(self, at: float, connection: str | None = None) -> None:
+        """The call that is out (on this connection) has ended with no answer."""
+        if self._out_on is not None and connection in (None, self._out_on):
+            self.calls[-1] = replace(self.calls[-1], ended=at)
+            self._out_on = None
+
+    def heard(self, at: float, version: int) -> None:
+        if self._out_on is not None:
+            self.calls[-1] = replace(self.calls[-1], ended=at, version=version)
+            self._out_on = None
+
+    def refused(self, at: float) -> None:
+        """A dial was refused."""
+        if self._out_on is None:
+            self.calls.append(ListCall(at, 0.0, at))
+
+
+@dataclass(eq=False)
+class _MemberLink:
+    """A member's way to discovery, over all its processes."""
+
+    silences: OpenSpans = field(default_factory=OpenSpans)
+    cuts: OpenSpans = field(default_factory=OpenSpans)
+    pauses: list[Span] = field(default_factory=list)
+    known: int = -1
+    processes: list[Process] = field(default_factory=list)
+
+
+class ListHistory:
+    """Feed it a run's events in order."""
+
+    def __init__(self, ask_within_s: float, pushed: bool) -> None:
+        self._ask_within_s, self._pushed = ask_within_s, pushed
+        self._changes: list[Change] = []
+        self._shut: dict[str, int] = {}  # place among the changes of what is not listed as active
+        self._listed: set[str] = set()
+        self._down, self._failing = OpenSpans(), OpenSpans()
+        self._slow: list[Slowness] = []
+        self._slow_since: tuple[float, float] | None = None  # when, and by how much
+        self._links: dict[str, _MemberLink] = defaultdict(_MemberLink)
+
+    def read(self, event: Event) -> None:
+        f = event.fields
+        match event.kind:
+            case "change":
+                self._change(event)
+            case "discovery":
+                self._discovery(event)
+            case "discovery-link":
+                link = self._links[f["member"]]
+                link.silences.set(bool(f["silent"]), event.at)
+                link.cuts.set(not f["reachable"], event.at)
+            case "paused":
+                self._links[f["member"]].pauses.append(Span(event.at, event.at + f["for_s"]))
+            case "known":
+                self._links[f["member"]].known = f["version"]
+            case "start":
+                link = self._links[f["member"]]
+                link.processes.append(Process(event.at, link.known))
+            case (
+                "gone"
+                | "ready"
+                | "sighup"
+                | "list-ask"
+                | "list-end"
+                | "list-failed"
+                | "dial-refused"
+                | "told"
+            ):
+                if processes := self._links[f["member"]].processes:
+                    _process_event(processes[-1], event)
+
+    def _change(self, event: Event) -> None:
+        states: dict[str, str] = event.fields["states"]
+        self._listed |= set(states)
+        for name in self._listed:
+            if states.get(name) == "active":
+                if (place := self._shut.pop(name, None)) is not None:
+                    self._changes[place] = replace(self._changes[place], until=event.at)
+            elif name not in self._shut:
+                self._shut[name] = len(self._changes)
+                self._changes.append(Change(name, event.fields["version"], event.at))
+
+    def _discovery(self, event: Event) -> None:
+        f = event.fields
+        self._down.set(f["down"], event.at)
+        self._failing.set(f["down"] or not f["serves"], event.at)
+        if self._slow_since is not None:
+            since, slow_s = self._slow_since
+            self._slow.append(Slowness(Span(since, event.at), slow_s))
+        self._slow_since = (event.at, f["slow_s"]) if f["slow_s"] > 0 else None
+
+    def changes(self) -> dict[str, list[Change]]:
+        """By endpoint: when it drained or left."""
+        found = defaultdict(list)
+        for change in self._changes:
+            found[change.endpoint].append(change)
+        return found
+
+    def lives(self, member: str) -> list[Life]:
+        """The member's processes, first to last."""
+        link = self._links[member]
+        slow = list(self._slow)
+        if self._slow_since is not None:
+            slow.append(Slowness(Span(self._slow_since[0]), self._slow_since[1]))
+        return [
+            Life(
+                one.began,
+                one.ready,
+                one.known,
+                self._ask_within_s,
+                one.ended,
+                self._pushed,
+                one.calls,
+                link.silences.all,
+                [*self._failing.all, *link.cuts.all, *link.pauses],
+                self._down.all,
+                slow,
+                one.moves,
+            )
+            for one in link.processes
+        ]
+
+
+def _process_event(process: Process, event: Event) -> None:
+    f = event.fields
+    match event.kind:
+        case "gone":
+            process.ended = event.at
+        case "ready":
+            process.ready = min(process.ready, event.at)
+        case "sighup":
+            process.moves.append(event.at)
+        case "list-ask":
+            process.asked(event.at, f["connection"], f["wait_s"])
+        case "list-end":
+            process.failed(event.at, f["connection"])
+        case "list-failed":
+            process.failed(event.at)
+        case "dial-refused":
+            process.refused(event.at)
+        case "told":
+            process.heard(event.at, f["version"])
+
+
+def history(events: Iterable[Event], ask_within_s: float, pushed: bool) -> ListHistory:
+    """The history in these events, which are in order."""
+    found = ListHistory(ask_within_s, pushed)
+    for event in events:
+        found.read(event)
+    return found
--- a/mountgauge/lab/rig/oracle.py
+++ b/mountgauge/lab/rig/oracle.py
@@ -14,8 +14,8 @@
   wait.
 - `budget`: calls at a destination, in any span of time, stay within the rate and burst of its fleet-wide
   budget; calls there at once within the number of one for calls out (`slack_s` apart).
-- `drain`: nothing new to an endpoint later than `DRAIN_S` after the member was told that it drains or is
-  gone.
+- `drain`: nothing new to an endpoint later than `DRAIN_S` after it counts as notified to the member that it
+  drains or is gone: by a list that was written to it, or by any clause of `notified`.
 
 What a member's folder lost cannot be kept: such messages are counted apart (`Judged.with_folder`), and so
 are repeats after the loss, and those by a member that was given a copy of another one's folder. What is
@@ -32,6 +32,8 @@
 from typing import NamedTuple
 
 from mountgauge.lab.rig.events import Event
+from mountgauge.lab.rig.list_history import history
+from mountgauge.lab.rig.notified import Change, Span, forbidden
 from mountgauge.lab.rig.schedule import BudgetOf, Schedule, Tenant
 
 LATE_S = 0.35
@@ -131,7 +133,9 @@
             self._out(msg_id, calls)
             self._repeats(msg_id, calls)
         self._waits()
-        self._drains()
+        told = self._drains()
+        if self.schedule.fleet.front == "platform":
+            self._unheard_drains(told)
         for budget in self.schedule.budgets:
             self._budget(budget)
         for tenant in self.schedule.tenants:
@@ -320,8 +324,9 @@
         ]  # fmt: skip
         self._rate(tenant.name, tenant.rate, tenant.burst, sorted(taken))
 
-    def _drains(self) -> None:
-        """By the lists that were written to each member, in order."""
+    def _drains(self) -> set[int]:
+        """By the lists that were written to each member, in order; the calls that broke the rule."""
+        found: set[int] = set()
         shut: dict[tuple[str, str], float] = {}  # since when an endpoint is told to be leaving or gone
         known: dict[str, set[str]] = defaultdict(set)
         for event in self.events:
@@ -340,3 +345,31 @@
                 if since is not None and event.at > since + DRAIN_S + self.slack:
                     why = f"{f['endpoint']} was told to leave {event.at - since:.3f} s before"
                     self._broken("drain", event.at, f["member"], f["id"], why)
+                    found.add(f["call"])
+        return found
+
+    def _unheard_drains(self, told: set[int]) -> None:
+        """By what counts as notified whether it was written or not; without the calls named before."""
+        fleet = self.schedule.fleet
+        lists = history(self.events, fleet.ask_within_s, fleet.pushed)
+        changes = lists.changes()
+        spans: dict[tuple[str, str], list[tuple[Change, Span]]] = {}
+        for call in self.calls.values():
+            place = (call.member, call.endpoint)
+            if call.endpoint not in changes or call.number in told:
+                continue
+            if place not in spans:
+                spans[place] = [
+                    (change, span)
+                    for change in changes[call.endpoint]
+                    for life in lists.lives(call.member)
+                    for span in forbidden(change, life)
+                ]
+            for change, span in spans[place]:
+                if span.begin + DRAIN_S + self.slack < call.at < span.end:
+                    why = (
+                        f"{call.endpoint} left at {change.at:.3f} (version {change.version}), "
+                        f"which counted as notified {call.at - span.begin:.3f} s before"
+                    )
+                    self._broken("drain", call.at, call.member, call.id, why)
+                    break
--- a/mountgauge/lab/rig/proxies.py
+++ b/mountgauge/lab/rig/proxies.py
@@ -14,12 +14,23 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from functools import partial
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 from mountgauge.lab.rig.network_conditions import NetworkConditions
 
 HOST = "127.0.0.1"
 Place = tuple[str, int]
+_BACKLOG = 1024  # connections that wait to be accepted
+
+
+class LinkWatcher(Protocol):
+    """Hears what the side that opens connections does on a link, also what the link swallows."""
+
+    def said(self, connection: int, data: bytes) -> None: ...
+
+    def closed(self, connection: int) -> None: ...
+
+    def refused(self) -> None: ...
 
 
 class _Half(asyncio.Protocol):
@@ -31,14 +42,20 @@
         self.transport: asyncio.Transport | None = None
         self.free_at = 0.0
         self.waiting: list[bytes] = []  # what came before the other side stood
+        self.own: Place = (HOST, 0)  # this side's address
         self.ended = False
+        self.number = 0  # of the connection on its link
+        self.stranded = False  # a half-open connection: it never carries anything again
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.own = transport.get_extra_info("sockname")[:2]
         if self.up:
             self.proxy.accepted(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.up and self.proxy.watcher is not None:
+            self.proxy.watcher.said(self.number, data)
         if self.other is None or self.other.transport is None:
             self.waiting.append(data)
         else:
@@ -60,6 +77,48 @@
             self.transport.abort()
 
 
+class DialListener:
+    """Accepts connections, or lets them hang: a dial then never comes up, and nobody says why."""
+
+    def __init__(self, protocol: Callable[[], asyncio.Protocol], port: int) -> None:
+        self._protocol = protocol
+        self._socket = socket.create_server((HOST, port), backlog=_BACKLOG)
+        self._socket.setblocking(False)
+        self._filler: socket.socket | None = None  # fills the queue of connections that wait
+        self._task: asyncio.Task[None] | None = None
+        self.place: Place = self._socket.getsockname()[:2]
+
+    def accept(self) -> None:
+        if self._task is None:
+            self._socket.listen(_BACKLOG)
+            self._task = asyncio.get_running_loop().create_task(self._accept())
+
+    def hang(self) -> None:
+        if self._task is None:
+            return
+        self._task.cancel()
+        self._task = None
+        self._socket.listen(0)  # one connection fits, the system drops further ones' first packets
+        self._filler = socket.create_connection(self.place)
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        filler, self._filler = self._filler, None
+        if filler is not None:
+            filler.close()
+        while True:
+            accepted, _ = await loop.sock_accept(self._socket)
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(self._protocol, accepted)
+
+    def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        if self._filler is not None:
+            self._filler.close()
+        self._socket.close()
+
+
 class StreamProxy:
     """The address by which `source` reaches `target`, and what happens in between."""
 
@@ -67,23 +126,42 @@
         self.source, self.name, self.target = source, name, target
         self.conditions = NetworkConditions()
         self.counts: Counter[str] = Counter()
+        self.watcher: LinkWatcher | None = None
         self._rng, self._who = random.Random(seed), who
-        self._server: asyncio.Server | None = None
+        self._listener: DialListener | None = None
         self._pairs: set[_Half] = set()  # the sides that opened them
         self.place: Place = (HOST, 0)
 
     async def start(self, port: int = 0) -> Place:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Half(self, True), HOST, port, backlog=1024)
-        self.place = self._server.sockets[0].getsockname()[:2]
+        self._listener = DialListener(lambda: _Half(self, True), port)
+        self._listener.accept()
+        self.place = self._listener.place
         return self.place
 
     def set(self, conditions: NetworkConditions) -> None:
         self.conditions = conditions
+        if conditions.half_open:
+            for near in self._pairs:
+                near.stranded = True
+                if near.other is not None:
+                    near.other.stranded = True
+        if self._listener is not None:
+            if conditions.half_open:
+                self._listener.hang()
+            else:
+                self._listener.accept()
+
+    def carries_from(self, target_side: Place) -> bool:
+        """Whether what `target` says on the connection from this address of its own reaches `source`."""
+        found = [near for near in self._pairs if near.other is not None and near.other.own == target_side]
+        return any(not near.stranded and not self.conditions.quiet(False) for near in found)
 
     def accepted(self, near: _Half) -> None:
         self.counts["connections"] += 1
+        near.number = self.counts["connections"]
         if self.conditions.refuse:
+            if self.watcher is not None:
+                self.watcher.refused()
             near.abort()
             return
         self._pairs.add(near)
@@ -118,6 +196,7 @@
             near.abort()
             return
         near.other, far.other = far, near
+        far.stranded = near.stranded
         if near.ended:
             far.abort()
         for data in near.waiting:
@@ -126,7 +205,7 @@
 
     def carry(self, half: _Half, data: bytes) -> None:
         """On to the other side, as the conditions has it."""
-        if self.conditions.quiet(half.up):
+        if half.stranded or self.conditions.quiet(half.up):
             self.counts["silent_bytes"] += len(data)
             return
         loop = asyncio.get_running_loop()
@@ -141,8 +220,10 @@
         """A close goes on to the other side, unless that direction is silent."""
         if half.up:
             self._pairs.discard(half)
-        other = half.other
-        if other is not None and not other.ended and not self.conditions.quiet(half.up):
+            if self.watcher is not None:
+                self.watcher.closed(half.number)
+        other, silent = half.other, half.stranded or self.conditions.quiet(half.up)
+        if other is not None and not other.ended and not silent:
             late = max(0.0, half.free_at - asyncio.get_running_loop().time())
             asyncio.get_running_loop().call_later(late, other.abort)
 
@@ -155,8 +236,8 @@
         return len(self._pairs)
 
     def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         self.reset_all()
 
 
--- a/mountgauge/lab/rig/runner.py
+++ b/mountgauge/lab/rig/runner.py
@@ -20,6 +20,7 @@
 
 from mountgauge.lab.rig import files
 from mountgauge.lab.rig.events import Events
+from mountgauge.lab.rig.list_calls import ListCallRecorder
 from mountgauge.lab.rig.network_conditions import NetworkConditions
 from mountgauge.lab.rig.processes import GOSSIP, RESP, Member, hosts
 from mountgauge.lab.rig.proxies import HOST, DatagramProxy, Place, Proxies, StreamProxy
@@ -54,7 +55,9 @@
         self.partners = {
             spec.dest: PartnerStandIn(spec, self.events, self._who) for spec in schedule.partners
         }
-        self.platform = PlatformStandIn(self.events, self._who, self._place_of)
+        self.platform = PlatformStandIn(
+            self.events, self._who, self._place_of, self._carries, schedule.fleet.pushed
+        )
         places = hosts(schedule.fleet.members, next(_RIGS))
         self.members = {
             name: Member(name, host, folder / name, self.events, watch=self._line)
@@ -75,6 +78,10 @@
     def _place_of(self, member: str, endpoint: str) -> Place:
         return self.proxies.all[member, endpoint].place
 
+    def _carries(self, member: str, peer: Place) -> bool:
+        link = self.proxies.all.get((member, "discovery"))
+        return link is None or link.carries_from(peer)
+
     def _line(self, member: str, pairs: Mapping[str, str]) -> None:
         event = pairs.get("event", "")
         if event.startswith(_KEPT_LINES) or pairs.get("level") in ("error", "critical"):
@@ -94,7 +101,7 @@
                 await endpoint.start()
         for name, member in self.members.items():
             member.folder.mkdir(parents=True)
-            await self.proxies.add(name, "discovery", self.platform.place)
+            await self._add_discovery_link(name)
             await self.proxies.add("clients", name, (member.host, RESP))
             for partner in self.partners.values():
                 for endpoint in partner.endpoints:
@@ -128,18 +135,31 @@
         for one in self.load_generators:
             self._spawn(one.run(schedule.seconds))
 
+    async def _add_discovery_link(self, name: str) -> None:
+        """The address by which the member reaches discovery from now on."""
+        place = await self.proxies.add(name, "discovery", self.platform.place)
+        self.proxies.all[name, "discovery"].watcher = ListCallRecorder(name, str(place[1]), self.events)
+        self._log_link(name)
+
+    def _log_link(self, name: str) -> None:
+        now = self.proxies.all[name, "discovery"].conditions
+        self.events.add("discovery-link", member=name, silent=bool(now.silent), reachable=now.reachable)
+
+    def _set_links(self, proxies: list[StreamProxy], conditions: NetworkConditions) -> None:
+        for proxy in proxies:
+            proxy.set(conditions)
+            if self.proxies.all.get((proxy.source, "discovery")) is proxy:
+                self._log_link(proxy.source)
+
     def _write(self, member: Member) -> None:
         """The member's file, in one piece; what it says of endpoints counts as told from then on."""
         schedule, name = self.schedule, member.name
         if schedule.fleet.front == "platform":
             path = member.folder / "config.json"
-            text = files.platform_file(
-                schedule,
-                name,
-                member.host,
-                self.proxies.all[name, "discovery"].place,
-                self.platform.last.get(name) or self.platform.as_json(name),
-            )
+            known = self.platform.last.get(name) or self.platform.as_json(name)
+            self.events.add("known", member=name, version=known["version"])
+            place = self.proxies.all[name, "discovery"].place
+            text = files.platform_file(schedule, name, member.host, place, known)
             member.env = {"GW_CONFIG": str(path), "GW_STATE": str(member.state), "GW_NAME": name}
             member.command = [*self.command]
         else:
@@ -148,11 +168,11 @@
                 (one.id, one.dest, self._place_of(name, one.id), one.state)
                 for one in self.platform.entries.values()
             ]
-            place = schedule.names.index(name)
-            peers = [at for (source, _), at in self.peers.items() if source == place]
+            number = schedule.names.index(name)
+            peers = [at for (source, _), at in self.peers.items() if source == number]
             members = [
-                (other, self.peers.get((place, number), (self.members[other].host, GOSSIP)))
-                for number, other in enumerate(schedule.names)
+                (other, self.peers.get((number, peer), (self.members[other].host, GOSSIP)))
+                for peer, other in enumerate(schedule.names)
             ]
             text = files.operator_file(
                 schedule, name, member.host, hops, peers, self.proxies.all[name, "discovery"].place, members
@@ -249,6 +269,9 @@
             case "start":
                 for member in members:
                     self._spawn(self._up(member))
+            case "move-discovery":
+                for member in members:
+                    await self._move_discovery(member, fault)
             case "crash-loop":
                 for member in members:
                     self._spawn(self._crash_loop(member, fault))
@@ -260,6 +283,16 @@
                 if fault.back_s >= 0:
                     self._spawn(self._back(fault, members, rng.random()))
 
+    async def _move_discovery(self, member: Member, fault: Fault) -> None:
+        """Another address of discovery in its file, and SIGHUP; the link's keys strike the old address."""
+        old = self.proxies.all[member.name, "discovery"]
+        self.proxies.all[member.name, f"discovery before {self.events.now:.3f}"] = old
+        await self._add_discovery_link(member.name)
+        self._write(member)
+        self.events.add("sighup", member=member.name)
+        member.signal(signal.SIGHUP)
+        self._set_links([old], NetworkConditions().but(fault.conditions))
+
     async def _crash_loop(self, member: Member, fault: Fault) -> None:
         for _ in range(fault.times):
             member.wanted = False
@@ -349,17 +382,20 @@
         platform = self.platform
         match fault.do:
             case "discovery-down":
-                platform.set_down(True)
-                self._later(fault.for_s, lambda: platform.set_down(False))
+                platform.set(down=True)
+                self._later(fault.for_s, partial(platform.set, down=False))
             case "discovery-slow":
-                platform.slow_s = fault.wait_s
-                self._later(fault.for_s, lambda: setattr(platform, "slow_s", 0.0))
+                platform.set(slow_s=fault.wait_s)
+                self._later(fault.for_s, partial(platform.set, slow_s=0.0))
             case "discovery-limited":
-                platform.cost_s = fault.wait_s
-                self._later(fault.for_s, lambda: setattr(platform, "cost_s", 0.0))
+                platform.set(cost_s=fault.wait_s)
+                self._later(fault.for_s, partial(platform.set, cost_s=0.0))
+            case "discovery-torn":
+                platform.set(torn=True)
+                self._later(fault.for_s, partial(platform.set, torn=False))
             case _:
-                platform.older = max(1, fault.count if fault.count != 50 else 1)
-                self._later(fault.for_s, lambda: setattr(platform, "older", 0))
+                platform.set(older=max(1, fault.count if fault.count != 50 else 1))
+                self._later(fault.for_s, partial(platform.set, older=0))
 
     def _on_clients(self, fault: Fault) -> None:
         if fault.do == "reconnect":
@@ -390,12 +426,12 @@
                 self._later(fault.for_s, lambda: setattr(gossip, "conditions", had))
             return
         proxies = self.proxies.between(self._parties(first), self._parties(second))
-        for proxy in proxies:
-            proxy.set(conditions)
-            if conditions.reset >= 1000:  # all at once
+        self._set_links(proxies, conditions)
+        if conditions.reset >= 1000:  # all at once
+            for proxy in proxies:
                 proxy.reset_all()
         if fault.for_s > 0:
-            self._later(fault.for_s, partial(_clear, proxies))
+            self._later(fault.for_s, partial(self._set_links, proxies, NetworkConditions()))
 
     def _split(self, fault: Fault) -> None:
         if self.gossip_proxy is None:
@@ -435,11 +471,6 @@
         member.signal(signal.SIGCONT)
 
 
-def _clear(proxies: list[StreamProxy]) -> None:
-    for proxy in proxies:
-        proxy.set(NetworkConditions())
-
-
 def run_schedule(schedule: Schedule, folder: Path, command: list[str] | None = None) -> Events:
     """Run a schedule to its end in this process; RuntimeError where the rig itself failed."""
     one = Runner(schedule, folder, command)
--- a/mountgauge/lab/rig/schedule.py
+++ b/mountgauge/lab/rig/schedule.py
@@ -22,9 +22,14 @@
 
 FOLDERS = ("kept", "lost", "old", "cut", "swapped", "foreign")
 STARTS = ("together", "spread", "one-by-one")
-ON_MEMBERS = ("kill", "term", "pause", "start", "empty-folder", "save-folder", "crash-loop")
+ON_MEMBERS = (
+    "kill", "term", "pause", "start", "empty-folder", "save-folder", "crash-loop", "move-discovery",
+)  # fmt: skip
 ON_PARTNERS = ("cold", "shut", "limit", "silent", "error", "spoilt", "never-warm", "drain", "remove", "add")
-ON_DISCOVERY = ("discovery-down", "discovery-slow", "discovery-limited", "discovery-older")
+ON_DISCOVERY = (
+    "discovery-down", "discovery-slow", "discovery-limited", "discovery-older", "discovery-torn",
+)  # fmt: skip
+ON_PLATFORM = (*ON_DISCOVERY, "move-discovery")  # faults that its front alone knows
 ON_LINKS = ("link", "split")
 ON_CLIENTS = ("reconnect", "clump")
 KINDS = (*ON_MEMBERS, *ON_PARTNERS, *ON_DISCOVERY, *ON_LINKS, *ON_CLIENTS)
@@ -46,12 +51,17 @@
     comeback: bool = True
     disk_mb: float = 16.0
     ask_within_s: float = 10.0
+    discovery: str = "subscribe"  # or "automatic": lists are pushed to an agent on the member's machine
     extra: str = ""  # more of the members' files, in TOML
 
     @property
     def counted(self) -> int:
         return self.senders or self.members
 
+    @property
+    def pushed(self) -> bool:
+        return self.discovery == "automatic"
+
 
 @dataclass(frozen=True, slots=True)
 class Grade:
@@ -218,6 +228,10 @@
     fleet = _fill(Fleet, top.table("fleet") or Table({}, "fleet"))
     if fleet.front not in ("operator", "platform"):
         raise ConfigError("fleet.front: operator or platform")
+    if fleet.discovery not in ("subscribe", "automatic"):
+        raise ConfigError("fleet.discovery: subscribe or automatic")
+    if fleet.pushed and fleet.front != "platform":
+        raise ConfigError("fleet.discovery: automatic is for fleet.front = 'platform'")
     if fleet.members < 1:
         raise ConfigError("fleet.members: must be above 0")
     if fleet.gossip and fleet.front == "platform":
@@ -246,7 +260,7 @@
     for place, fault in enumerate(faults):
         if fault.do in (*ON_PARTNERS, "clump") and fault.dest not in dests:
             raise ConfigError(f"fault[{place}].dest: no partner has {fault.dest}")
-        if fault.do in ON_DISCOVERY and fleet.front != "platform":
+        if fault.do in ON_PLATFORM and fleet.front != "platform":
             raise ConfigError(f"fault[{place}].do: {fault.do} is for fleet.front = 'platform'")
     found = Schedule(
         name=top.get("name", str),
@@ -298,6 +312,7 @@
     "silent": str,
     "refuse": bool,
     "reset": float,
+    "half_open": bool,
 }
 
 
@@ -326,6 +341,12 @@
             conditions[key] = kind(table.get(key, *kinds))
     if conditions.get("silent", "both") not in ("both", "up", "down"):
         raise ConfigError(f"{where}.silent: both, up or down")
+    if conditions.get("half_open") and conditions.get("silent") != "both":
+        raise ConfigError(f"{where}.half_open: needs silent = 'both'")
+    if conditions.get("half_open") and between[1] != "discovery":
+        raise ConfigError(f"{where}.half_open: only between members and discovery")
+    if do == "move-discovery" and conditions.get("half_open"):
+        raise ConfigError(f"{where}.half_open: not for move-discovery")
     groups = table.get("groups", list, default=[])
     if do == "split" and len(groups) < 2:
         raise ConfigError(f"{where}.groups: two or more lists of names")
--- a/mountgauge/lab/rig/stand_ins.py
+++ b/mountgauge/lab/rig/stand_ins.py
@@ -14,22 +14,32 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
 
 import numpy as np
 
 from mountgauge.http1 import HttpError, Message, Parser, response
 from mountgauge.lab.rig.capacity_model import CapacityModel
 from mountgauge.lab.rig.events import Events
+from mountgauge.lab.rig.list_calls import PATH, read_wait
 from mountgauge.lab.rig.proxies import HOST, Place, StreamProxy
 from mountgauge.lab.rig.schedule import Load, Partner
 
 _CLIENT_WAITS = 0.4  # s that a client waits for the answer to a message
 _COMES_AGAIN = 0.5  # s after which one that heard nothing comes again
 _PATIENCE = 2.0  # s in which a client must have been let in
+_TORN_AFTER_S = 0.05  # s after which a half-written answer's connection is reset
 _LISTS_KEPT = 64  # versions of the list that discovery can go back to
 
 Who = Callable[[Any], str]  # which member a connection's peer name belongs to
+Carries = Callable[[str, Place], bool]  # whether the link carries what is said to a member's peer name
+
+
+class Torn(NamedTuple):
+    """An answer of which only this much is written before the connection is reset."""
+
+    data: bytes
 
 
 class _Server:
@@ -55,11 +65,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        member, parser = self._who(writer.get_extra_info("peername")), Parser(requests=True)
+        peer: Place = tuple(writer.get_extra_info("peername")[:2])
+        member, parser = self._who(peer), Parser(requests=True)
         try:
             while data := await reader.read(65536):
                 for message in parser.feed(data):
-                    answering = asyncio.ensure_future(self.answer(member, message, reader))
+                    answering = asyncio.ensure_future(self.answer(member, message, peer))
                     gone = asyncio.ensure_future(_eof(reader))
                     try:
                         await asyncio.wait({answering, gone}, return_when=asyncio.FIRST_COMPLETED)
@@ -73,6 +84,10 @@
                         gone.cancel()
                     if answer is None or writer.transport.is_closing():
                         return
+                    if isinstance(answer, Torn):
+                        writer.write(answer.data)
+                        await asyncio.sleep(_TORN_AFTER_S)
+                        return
                     writer.write(answer)
         except (OSError, HttpError, asyncio.CancelledError):
             pass
@@ -80,7 +95,8 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
+        """What is written; None: the connection is reset without an answer."""
         raise NotImplementedError
 
 
@@ -137,7 +153,7 @@
         self.partner, self.id = partner, f"e{partner.spec.dest}-{number}"
         self.state = "active"
 
-    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
         partner, events = self.partner, self.partner.events
         spec, capacity, headers = partner.spec, partner.capacity, message.headers
         if message.start is None or message.start[:2] != ("POST", "/hook"):
@@ -189,11 +205,21 @@
 
 
 class PlatformStandIn(_Server):
-    """Discovery, which works through calls one after another, and the notices."""
+    """Discovery, which works through calls one after another, and the notices.
 
-    def __init__(self, events: Events, who: Who, place_of: Callable[[str, str], Place]) -> None:
+    With `pushed` it is the agents on the members' machines: silent while discovery is down, else at once.
+    """
+
+    def __init__(
+        self,
+        events: Events,
+        who: Who,
+        place_of: Callable[[str, str], Place],
+        carries: Carries,
+        pushed: bool = False,
+    ) -> None:
         super().__init__(who)
-        self.events, self._place_of = events, place_of
+        self.events, self._place_of, self._carries, self.pushed = events, place_of, carries, pushed
         self.entries: dict[str, Listed] = {}
         self.version = 0
         self.kept: list[tuple[int, dict[str, Listed]]] = []
@@ -202,6 +228,7 @@
         self.cost_s = 0.0  # of its time for each call
         self.slow_s = 0.0
         self.older = 0  # versions that it has gone back by
+        self.torn = False  # answers are reset half-way
         self.patience_s = 2.0  # s after which a call that has waited fails
         self._free_at = 0.0
         self._news = asyncio.Event()
@@ -210,14 +237,35 @@
         self.entries = {name: one for name, one in entries.items()}
         self.version += 1
         self.kept = [*self.kept[-_LISTS_KEPT:], (self.version, dict(self.entries))]
+        states = {name: one.state for name, one in self.entries.items()}
+        self.events.add("change", version=self.version, states=states)
+        self._wake()
+
+    def _wake(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
 
-    def set_down(self, down: bool) -> None:
-        self.down = down
-        if down:  # watches end
+    def set(
+        self,
+        *,
+        down: bool | None = None,
+        cost_s: float | None = None,
+        slow_s: float | None = None,
+        older: int | None = None,
+        torn: bool | None = None,
+    ) -> None:
+        """How it fares from now on; what is not named stays."""
+        self.down = self.down if down is None else down
+        self.cost_s = self.cost_s if cost_s is None else cost_s
+        self.slow_s = self.slow_s if slow_s is None else slow_s
+        self.older = self.older if older is None else older
+        self.torn = self.torn if torn is None else torn
+        serves = not (self.cost_s or self.older or self.torn)
+        self.events.add("discovery", down=self.down, serves=serves, slow_s=self.slow_s)
+        if self.down and not self.pushed:  # watches end
             for writer in list(self._writers):
                 writer.transport.abort()
+        self._wake()
 
     def as_json(self, member: str) -> dict[str, Any]:
         version, entries = self.version, self.entries
@@ -241,7 +289,7 @@
             "started_ms": 0,
         }
 
-    async def answer(self, member: str, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
         assert message.start is not None
         method, path, _ = message.start
         if method == "POST" and path == "/v1/notices":
@@ -258,31 +306,46 @@
             except (ValueError, KeyError):
                 return response(400, "Bad Request", {}, b"")
             return response(204, "No Content", {}, b"")
-        if method != "GET" or not path.startswith("/registry/instances"):
+        if method != "GET" or not path.startswith(PATH):
             return response(404, "Not Found", {}, b"")
-        self.events.add("list-call", member=member, watch="index=" in path)
-        if self.down:
+        watch, wait_s = read_wait(path)
+        self.events.add("list-call", member=member, watch=watch)
+        return await self._list(member, path, wait_s, peer)
+
+    async def _list(self, member: str, path: str, wait_s: float, peer: Place) -> bytes | Torn | None:
+        if self.down and not self.pushed:
             return None
         loop = asyncio.get_running_loop()
         asked = loop.time()
         self._free_at = max(asked, self._free_at) + self.cost_s
         if self._free_at - asked > self.patience_s:  # it costs as much as one that is served
             await asyncio.sleep(self.patience_s)
+            self.events.add("list-failed", member=member)
             return response(503, "Service Unavailable", {}, b"")
         await asyncio.sleep(self._free_at - asked + self.slow_s)
-        pairs = dict(pair.split("=") for pair in path.partition("?")[2].split("&") if "=" in pair)
-        index, wait = int(pairs.get("index", -1)), int(pairs.get("wait", 0)) / 1000
-        ends = loop.time() + wait
-        while index >= self.version and loop.time() < ends and not self.down:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._news.wait(), ends - loop.time())
-        if self.down:
+        index = int(parse_qs(urlsplit(path).query).get("index", ["-1"])[0])
+        if not await self._news_after(index, loop.time() + wait_s):
             return None
         found = self.as_json(member)
         if index >= self.version and not self.older:
             found = {"version": index, "full": False, "servers": []}
-        self.told(member, found)
-        return response(200, "OK", {"Content-Type": "application/json"}, json.dumps(found).encode())
+        answer = response(200, "OK", {"Content-Type": "application/json"}, json.dumps(found).encode())
+        if self.torn:
+            return Torn(answer[: len(answer) // 2])
+        if self._carries(member, peer):
+            self.told(member, found)
+        return answer
+
+    async def _news_after(self, index: int, ends: float) -> bool:
+        """Wait for a newer version, to the wait's end; False where discovery went down."""
+        loop = asyncio.get_running_loop()
+        while (index >= self.version and loop.time() < ends) or (self.down and self.pushed):
+            if self.down and not self.pushed:
+                return False
+            left = None if self.down else ends - loop.time()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._news.wait(), left)
+        return not self.down
 
     def told(self, member: str, found: Mapping[str, Any]) -> None:
         if found["full"]:
--- /dev/null
+++ b/tests/lab/test_notified.py
@@ -0,0 +1,289 @@
+"""When a change of the list counts as notified: each clause where it holds and where it does not, then the
+events out of which the oracle reads it.
+"""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from mountgauge.core.config import ConfigError
+from mountgauge.lab.rig.events import Event
+from mountgauge.lab.rig.list_calls import read_wait
+from mountgauge.lab.rig.list_history import history
+from mountgauge.lab.rig.notified import Change, Life, ListCall, Slowness, Span, forbidden, notified_at
+from mountgauge.lab.rig.oracle import judge
+from mountgauge.lab.rig.schedule import Schedule, parse
+
+NEVER = math.inf
+CHANGE = Change("e1-0", version=5, at=4.0)
+LIFE = Life(began=-1.0, ready=0.0, known=4, ask_within_s=10.0)
+WATCH = ListCall(began=0.0, wait_s=10.0)
+
+
+def life(*calls: ListCall, **changes: Any) -> Life:
+    return replace(LIFE, calls=calls, **changes)
+
+
+# Each clause: the member's calls and what befell them, and when the change of version 5 at 4.0 s counts
+
+WRITTEN = [
+    pytest.param(life(replace(WATCH, ended=4.1, version=5)), 4.1, id="written as it was made"),
+    pytest.param(life(replace(WATCH, ended=7.0, version=6)), 7.0, id="written with a later one"),
+    pytest.param(life(replace(WATCH, ended=10.0, version=4), WATCH), NEVER, id="an older list tells it not"),
+    pytest.param(life(known=5), 4.0, id="the process was started with it"),
+]
+SILENT = [
+    pytest.param(life(WATCH, silences=[Span(3.0, 5.0)]), 12.0, id="2 s after the wait is later"),
+    pytest.param(
+        life(replace(WATCH, wait_s=2.0), silences=[Span(3.0, 5.0)]),
+        9.0,
+        id="6 s after it fell silent is later",
+    ),
+    pytest.param(
+        life(replace(WATCH, began=3.5, wait_s=2.0), silences=[Span(3.0, 5.0)]), 9.5, id="begun in the silence"
+    ),
+    pytest.param(life(WATCH), NEVER, id="a watch that is merely out"),
+    pytest.param(life(WATCH, silences=[Span(-3.0, -1.0)]), NEVER, id="a silence before the watch"),
+    pytest.param(
+        life(WATCH, silences=[Span(3.0, 20.0)], unreachable=[Span(3.0, 20.0)]),
+        22.0,
+        id="cut off past that moment: 2 s after the link is back",
+    ),
+    pytest.param(
+        life(WATCH, silences=[Span(3.0, 5.0)], slow=[Slowness(Span(11.0, 13.0), 1.5)]),
+        13.5,
+        id="slow discovery adds to it",
+    ),
+]
+FAILED = [
+    pytest.param(life(replace(WATCH, ended=3.0)), 10.0, id="failed before: 6 s after the change"),
+    pytest.param(life(replace(WATCH, ended=5.0)), 11.0, id="given up after the change: 6 s after that"),
+    pytest.param(
+        life(replace(WATCH, ended=3.0), unreachable=[Span(3.0, 8.0)]), 14.0, id="6 s after discovery is back"
+    ),
+    pytest.param(
+        life(replace(WATCH, ended=3.0), unreachable=[Span(3.0, 8.0), Span(13.0, 13.5)]),
+        19.5,
+        id="a gap begins them anew",
+    ),
+    pytest.param(
+        life(replace(WATCH, ended=3.0), ListCall(3.2, 0.0, 6.0), ListCall(7.0, 0.0, 9.0)),
+        10.0,
+        id="further failures do not put it off",
+    ),
+    pytest.param(
+        life(replace(WATCH, ended=2.0), ListCall(2.2, 0.0, 3.0, version=4), ListCall(3.1, 20.0)),
+        NEVER,
+        id="a failure before the last answer",
+    ),
+    pytest.param(
+        life(replace(WATCH, ended=3.0), slow=[Slowness(Span(0.0, 20.0), 2.0)]), 12.0, id="slow discovery"
+    ),
+]
+MOVED = [
+    pytest.param(life(moves=[4.5]), 8.5, id="4 s after SIGHUP"),
+    pytest.param(life(moves=[4.5, 6.0]), 10.0, id="two in quick succession: the later"),
+    pytest.param(life(moves=[4.5], unreachable=[Span(5.0, 6.0)]), 10.0, id="the new address down meanwhile"),
+    pytest.param(life(replace(WATCH, wait_s=30.0), moves=[3.0]), NEVER, id="made after SIGHUP"),
+]
+UNWATCHED = [
+    pytest.param(life(), 14.0, id="never asked: askWithin after the change"),
+    pytest.param(life(ListCall(7.0, 0.0, 7.5, version=4)), 17.5, id="askWithin after the last call"),
+    pytest.param(
+        life(ListCall(1.0, 0.0, 1.5, version=4), ListCall(8.0, 30.0)),
+        NEVER,
+        id="the next call came before it",
+    ),
+    pytest.param(
+        life(ListCall(1.0, 0.0, 1.5, version=4), unreachable=[Span(9.0, 11.0)]),
+        21.0,
+        id="counted anew when discovery is back",
+    ),
+    pytest.param(
+        life(ListCall(1.0, 0.0, 1.5), unreachable=[Span(50.0, 51.0)], ask_within_s=1.2),
+        8.8,
+        id="four times as long after a failed call",
+    ),
+    pytest.param(life(WATCH), NEVER, id="a watch is open"),
+]
+PUSHED = [
+    pytest.param(life(pushed=True), 4.0, id="at once, without a watch"),
+    pytest.param(life(pushed=True, ready=6.0), 6.0, id="from a new process's first moment"),
+    pytest.param(
+        life(pushed=True, down=[Span(3.0, 8.0)], unreachable=[Span(3.0, 8.0)]), 8.0, id="as discovery returns"
+    ),
+    pytest.param(life(pushed=True, moves=[3.0]), 7.0, id="4 s after SIGHUP"),
+    pytest.param(
+        life(pushed=True, unreachable=[Span(3.5, 4.5)]), 10.5, id="6 s after the way to the agent is back"
+    ),
+    pytest.param(
+        life(WATCH, pushed=True, silences=[Span(3.5, 3.9)]), 10.0, id="a watch that is silent in between"
+    ),
+    pytest.param(life(WATCH), NEVER, id="not where lists are asked for"),
+]
+
+
+@pytest.mark.parametrize(("one", "at"), [*WRITTEN, *SILENT, *FAILED, *MOVED, *UNWATCHED, *PUSHED])
+def test_a_change_counts_as_notified(one: Life, at: float) -> None:
+    assert notified_at(CHANGE, one) == pytest.approx(at)
+
+
+def test_the_earliest_clause_holds() -> None:
+    silent = life(
+        replace(WATCH, ended=11.5), ListCall(11.5, 10.0, 11.8, version=5), silences=[Span(3.0, 5.0)]
+    )
+    assert notified_at(CHANGE, silent) == 11.8
+    assert notified_at(CHANGE, replace(silent, moves=[4.1])) == 8.1
+
+
+def test_an_older_list_takes_the_change_back_until_it_counts_again() -> None:
+    one = life(
+        ListCall(3.0, 10.0, 4.1, version=5),
+        ListCall(4.1, 0.0, 6.0, version=4),
+        ListCall(6.0, 10.0, 7.0, version=5),
+    )
+    assert forbidden(CHANGE, one) == [Span(4.1, 6.0), Span(7.0)]
+
+
+def test_a_change_counts_until_the_endpoint_is_active_again_or_the_process_ends() -> None:
+    one = life(ListCall(3.0, 10.0, 4.1, version=5))
+    assert forbidden(replace(CHANGE, until=9.0), one) == [Span(4.1, 9.0)]
+    assert forbidden(CHANGE, replace(one, ended=8.0)) == [Span(4.1, 8.0)]
+    assert forbidden(CHANGE, replace(one, ended=4.0)) == []
+    assert forbidden(replace(CHANGE, until=-2.0), one) == []
+
+
+# Out of events
+
+
+def at(when: float, kind: str, **fields: Any) -> Event:
+    return Event(when, kind, {"member": "m01", **fields})
+
+
+def changed(when: float, version: int, **states: str) -> Event:
+    return at(
+        when, "change", version=version, states={f"e1-{name[1:]}": state for name, state in states.items()}
+    )
+
+
+STARTED = [
+    changed(-2.0, 1, e0="active", e1="active"), at(-1.5, "known", version=1), at(-1.0, "start"),
+    at(0.0, "ready"),
+    at(0.1, "list-ask", connection="a/1", watch=True, wait_s=10.0),
+]  # fmt: skip
+DRAINED = changed(4.0, 2, e0="leaving", e1="active")
+REMOVED = changed(5.0, 3, e1="active")
+
+
+def called(when: float, endpoint: str = "e1-0") -> Event:
+    return at(when, "call", call=int(when * 100), id="a", dest=1, endpoint=endpoint)
+
+
+def test_changes_and_calls_are_read_from_events() -> None:
+    told = at(4.1, "told", version=2, full=True, states={"e1-0": "leaving", "e1-1": "active"})
+    again = at(4.2, "list-ask", connection="a/1", watch=True, wait_s=10.0)
+    ended = at(7.0, "list-end", connection="a/1")
+    elsewhere = at(6.0, "list-end", connection="a/0")
+    found = history([*STARTED, DRAINED, told, again, REMOVED, elsewhere, ended], 10.0, False)
+    assert found.changes() == {"e1-0": [Change("e1-0", 2, 4.0)]}
+    (process,) = found.lives("m01")
+    assert process.calls == [ListCall(0.1, 10.0, 4.1, version=2), ListCall(4.2, 10.0, 7.0)]
+    assert (process.began, process.ready, process.known) == (-1.0, 0.0, 1)
+
+
+def test_faults_of_discovery_and_of_the_link_are_read_from_events() -> None:
+    found = history(
+        [
+            *STARTED,
+            at(1.0, "discovery", down=True, serves=True, slow_s=0.0),
+            at(2.0, "discovery", down=False, serves=True, slow_s=1.5),
+            at(3.0, "discovery", down=False, serves=False, slow_s=0.0),
+            at(3.5, "discovery", down=False, serves=True, slow_s=0.0),
+            at(5.0, "discovery-link", silent=True, reachable=False),
+            at(6.0, "discovery-link", silent=False, reachable=True),
+            at(7.0, "dial-refused"),
+            at(8.0, "sighup"),
+            at(9.0, "paused", for_s=1.0),
+        ],
+        10.0,
+        False,
+    )
+    (process,) = found.lives("m01")
+    assert process.down == [Span(1.0, 2.0)] and process.slow == [Slowness(Span(2.0, 3.0), 1.5)]
+    assert process.silences == [Span(5.0, 6.0)] and process.moves == [8.0]
+    assert process.unreachable == [Span(1.0, 2.0), Span(3.0, 3.5), Span(5.0, 6.0), Span(9.0, 10.0)]
+    assert len(process.calls) == 1, "a dial of something else while a watch is out"
+
+
+def test_a_watch_says_how_long_it_may_wait() -> None:
+    assert read_wait("/registry/instances?index=4&wait=2500") == (True, 2.5)
+    assert read_wait("/registry/instances") == (False, 0.0)
+
+
+# By the oracle
+
+
+def schedule(fleet: str = "front = 'platform'\nmembers = 1") -> Schedule:
+    text = f"name = 'one'\nseconds = 30\n[fleet]\n{fleet}\n[[partner]]\ndest = 1\nendpoints = 2\n"
+    return parse(tomllib.loads(text))
+
+
+def drains(*events: Event, fleet: str = "front = 'platform'\nmembers = 1") -> list[str]:
+    return [one.why for one in judge(schedule(fleet), events).broken if one.rule == "drain"]
+
+
+def test_the_oracle_names_a_call_after_a_silent_watchs_moment() -> None:
+    silent = [
+        at(3.0, "discovery-link", silent=True, reachable=False),
+        at(5.0, "discovery-link", silent=False, reachable=True),
+    ]
+    events = [*STARTED, *silent, DRAINED]
+    assert drains(*events, called(12.3)) == []
+    assert drains(*events, called(12.5), called(12.6, "e1-1")) == [
+        "e1-0 left at 4.000 (version 2), which counted as notified 0.400 s before"
+    ]
+    assert drains(*STARTED, DRAINED, called(13.0)) == [], "the watch was not silent"
+
+
+def test_the_oracle_names_a_call_once_by_the_list_that_was_written() -> None:
+    told = at(4.1, "told", version=2, full=True, states={"e1-0": "leaving", "e1-1": "active"})
+    assert drains(*STARTED, DRAINED, told, called(4.5)) == ["e1-0 was told to leave 0.400 s before"]
+
+
+def test_a_new_process_is_held_to_the_list_that_it_was_started_with() -> None:
+    restarted = [at(5.0, "gone", code=-9), at(5.5, "known", version=2), at(5.6, "start"), at(6.0, "ready")]
+    assert len(drains(*STARTED, DRAINED, *restarted, called(6.1))) == 1
+    stale = [at(5.0, "gone", code=-9), at(5.5, "known", version=1), at(5.6, "start"), at(6.0, "ready")]
+    assert drains(*STARTED, DRAINED, *stale, called(6.1), called(16.2)) == []
+    assert len(drains(*STARTED, DRAINED, *stale, called(16.4))) == 1, "it never asked"
+
+
+def test_what_an_agent_has_counts_at_once() -> None:
+    pushed = "front = 'platform'\nmembers = 1\ndiscovery = 'automatic'"
+    assert len(drains(*STARTED, DRAINED, called(4.4), fleet=pushed)) == 1
+    assert drains(*STARTED, DRAINED, called(4.2), fleet=pushed) == []
+
+
+@pytest.mark.parametrize(
+    ("extra", "says"),
+    [
+        ("[fleet]\ndiscovery = 'pushed'", "fleet.discovery: subscribe or automatic"),
+        ("[fleet]\ndiscovery = 'automatic'", "fleet.discovery: automatic is for fleet.front"),
+        ("[[fault]]\nat = 1\ndo = 'move-discovery'", "fault[0].do: move-discovery is for fleet.front"),
+        ("[[fault]]\nat = 1\ndo = 'discovery-torn'", "fault[0].do: discovery-torn is for fleet.front"),
+        ("[[fault]]\nat = 1\ndo = 'link'\nhalf_open = true", "fault[0].half_open: needs silent"),
+        (
+            "[[fault]]\nat = 1\ndo = 'link'\nsilent = 'both'\nhalf_open = true",
+            "fault[0].half_open: only between members and discovery",
+        ),
+    ],
+)
+def test_bad_schedules_are_refused_with_one_line(extra: str, says: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse(tomllib.loads(f"name = 'one'\nseconds = 30\n{extra}\n[[partner]]\ndest = 1\n"))
+    assert str(error.value).startswith(says) and "\n" not in str(error.value)
