Reproduce broken drains with real senders, discovery and its faults

`replace` is a new fault: a sender that missed it knows no endpoint but those that leave, so each of its calls shows it. - `tests/lab/test_drains.py` judges the two short ones, and that each change met its fault. - Links to discovery drop the connection that kept dials out, which a stand-in saw as a member's.

--- a/mountgauge/lab/rig/notified.py
+++ b/mountgauge/lab/rig/notified.py
@@ -12,7 +12,8 @@
   binds for what came before the call was given up: later changes are not that call's to miss.
 - The six seconds after a failed call begin with the first failure since the last answer, if that is later
   than the change.
-- Discovery that is slow adds its slowness to each moment but that of a written answer.
+- Discovery that answers within `PATIENCE_S` can be reached; a slower one cannot. A silent call's moment is
+  later by that slowness, as `REOPEN_S` leaves a new call no room for it.
 - A member that is stopped (SIGSTOP) reaches nothing meanwhile.
 - Two SIGHUPs within four seconds: the later one counts alone.
 - A new process is held to the list that it was started with; whatever it missed counts as made when it was
@@ -31,6 +32,7 @@
 SILENCE_S = 6.0  # after which what a silent call misses counts
 REOPEN_S = 2.0  # after a silent call's wait, if that is later
 REACHED_S = 6.0  # after a failed call, from when discovery had the change and could be reached
+PATIENCE_S = 2.0  # that a call at discovery waits before it fails
 MOVED_S = 4.0  # after the SIGHUP that moved discovery's address
 WATCH_GAP_S = 0.2  # between two calls that are still one watch
 FAILED_TIMES = 4.0  # that a member without a watch is held to its list for if its last call failed
@@ -152,13 +154,13 @@
     if not failures:
         return math.inf
     begin = max(min(failures), made)
-    return _reachable(begin + REACHED_S, REACHED_S, life, slow_from=begin)
+    return _reachable(begin + REACHED_S, REACHED_S, life)
 
 
 def after_move(made: float, life: Life) -> float:
     """What the new address has as SIGHUP comes: `MOVED_S` later."""
     alone = [at for at, later in itertools.pairwise((*life.moves, math.inf)) if later - at >= MOVED_S]
-    found = [_reachable(at + MOVED_S, MOVED_S, life, slow_from=at) for at in alone if made <= at]
+    found = [_reachable(at + MOVED_S, MOVED_S, life) for at in alone if made <= at]
     return min(found, default=math.inf)
 
 
@@ -177,7 +179,7 @@
 
 def _unwatched(made: float, last: float, next_call: float, held: float, life: Life) -> float:
     """The moment within a gap between two calls; inf where the next call comes before it."""
-    at = _reachable(max(made, last) + held, held, life, slow_from=max(made, last))
+    at = _reachable(max(made, last) + held, held, life)
     return at if at < next_call else math.inf
 
 
@@ -201,15 +203,10 @@
     return at
 
 
-def _reachable(at: float, for_s: float, life: Life, slow_from: float | None = None) -> float:
-    """The first moment from `at` on before which discovery could be reached for so long without a gap.
-
-    With `slow_from` the slowness of discovery between that and the moment is added first.
-    """
-    if slow_from is not None:
-        slow_s = _slowest(slow_from, at, life)
-        at, for_s = at + slow_s, for_s + slow_s
-    for span in sorted(life.unreachable, key=lambda one: one.begin):
+def _reachable(at: float, for_s: float, life: Life) -> float:
+    """The first moment from `at` on before which discovery could be reached for so long without a gap."""
+    slow = [one.span for one in life.slow if one.slow_s > PATIENCE_S]
+    for span in sorted((*life.unreachable, *slow), key=lambda one: one.begin):
         if span.begin < at and span.end > at - for_s:
             at = span.end + for_s
     return at
--- a/mountgauge/lab/rig/proxies.py
+++ b/mountgauge/lab/rig/proxies.py
@@ -104,10 +104,16 @@
     async def _accept(self) -> None:
         loop = asyncio.get_running_loop()
         filler, self._filler = self._filler, None
+        own: Place | None = None
         if filler is not None:
+            own = filler.getsockname()[:2]
             filler.close()
         while True:
-            accepted, _ = await loop.sock_accept(self._socket)
+            accepted, peer = await loop.sock_accept(self._socket)
+            if peer[:2] == own:
+                accepted.close()
+                own = None
+                continue
             with contextlib.suppress(OSError):
                 await loop.connect_accepted_socket(self._protocol, accepted)
 
--- a/mountgauge/lab/rig/runner.py
+++ b/mountgauge/lab/rig/runner.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from fnmatch import fnmatch
 from functools import partial
 from pathlib import Path
@@ -357,12 +358,15 @@
                 partner.mode = fault.do
                 self._later(fault.for_s, lambda: setattr(partner, "mode", ""))
             case "add":
-                endpoint = partner.new_endpoint()
-                await endpoint.start()
-                for name in self.members:
-                    await self.proxies.add(name, endpoint.id, endpoint.place)
-                listed = Listed(endpoint.id, fault.dest, partner.spec.told)
-                self._list({**self.platform.entries, endpoint.id: listed})
+                listed = await self._new_endpoint(partner)
+                self._list({**self.platform.entries, listed.id: listed})
+            case "replace":
+                new = [await self._new_endpoint(partner) for _ in range(partner.spec.endpoints)]
+                entries = {
+                    name: replace(one, state="leaving") if one.dest == fault.dest else one
+                    for name, one in self.platform.entries.items()
+                }
+                self._list({**entries, **{one.id: one for one in new}})
             case "drain" | "remove":
                 endpoint = partner.endpoints[fault.endpoint]
                 entries = dict(self.platform.entries)
@@ -372,6 +376,13 @@
                     entries.pop(endpoint.id, None)
                 self._list(entries)
 
+    async def _new_endpoint(self, partner: PartnerStandIn) -> Listed:
+        endpoint = partner.new_endpoint()
+        await endpoint.start()
+        for name in self.members:
+            await self.proxies.add(name, endpoint.id, endpoint.place)
+        return Listed(endpoint.id, partner.spec.dest, partner.spec.told)
+
     def _list(self, entries: Mapping[str, Listed]) -> None:
         self.platform.change(entries)
         if self.schedule.fleet.front == "operator":
@@ -390,9 +401,9 @@
             case "discovery-limited":
                 platform.set(cost_s=fault.wait_s)
                 self._later(fault.for_s, partial(platform.set, cost_s=0.0))
-            case "discovery-torn":
-                platform.set(torn=True)
-                self._later(fault.for_s, partial(platform.set, torn=False))
+            case "discovery-reset":
+                platform.set(resets=True)
+                self._later(fault.for_s, partial(platform.set, resets=False))
             case _:
                 platform.set(older=max(1, fault.count if fault.count != 50 else 1))
                 self._later(fault.for_s, partial(platform.set, older=0))
--- a/mountgauge/lab/rig/schedule.py
+++ b/mountgauge/lab/rig/schedule.py
@@ -25,9 +25,11 @@
 ON_MEMBERS = (
     "kill", "term", "pause", "start", "empty-folder", "save-folder", "crash-loop", "move-discovery",
 )  # fmt: skip
-ON_PARTNERS = ("cold", "shut", "limit", "silent", "error", "spoilt", "never-warm", "drain", "remove", "add")
+ON_PARTNERS = (
+    "cold", "shut", "limit", "silent", "error", "spoilt", "never-warm", "drain", "remove", "add", "replace",
+)  # fmt: skip
 ON_DISCOVERY = (
-    "discovery-down", "discovery-slow", "discovery-limited", "discovery-older", "discovery-torn",
+    "discovery-down", "discovery-slow", "discovery-limited", "discovery-older", "discovery-reset",
 )  # fmt: skip
 ON_PLATFORM = (*ON_DISCOVERY, "move-discovery")  # faults that its front alone knows
 ON_LINKS = ("link", "split")
--- a/mountgauge/lab/rig/stand_ins.py
+++ b/mountgauge/lab/rig/stand_ins.py
@@ -29,14 +29,14 @@
 _CLIENT_WAITS = 0.4  # s that a client waits for the answer to a message
 _COMES_AGAIN = 0.5  # s after which one that heard nothing comes again
 _PATIENCE = 2.0  # s in which a client must have been let in
-_TORN_AFTER_S = 0.05  # s after which a half-written answer's connection is reset
+_RESET_AFTER_S = 0.05  # s after which a half-written answer's connection is reset
 _LISTS_KEPT = 64  # versions of the list that discovery can go back to
 
 Who = Callable[[Any], str]  # which member a connection's peer name belongs to
 Carries = Callable[[str, Place], bool]  # whether the link carries what is said to a member's peer name
 
 
-class Torn(NamedTuple):
+class Truncated(NamedTuple):
     """An answer of which only this much is written before the connection is reset."""
 
     data: bytes
@@ -84,9 +84,9 @@
                         gone.cancel()
                     if answer is None or writer.transport.is_closing():
                         return
-                    if isinstance(answer, Torn):
+                    if isinstance(answer, Truncated):
                         writer.write(answer.data)
-                        await asyncio.sleep(_TORN_AFTER_S)
+                        await asyncio.sleep(_RESET_AFTER_S)
                         return
                     writer.write(answer)
         except (OSError, HttpError, asyncio.CancelledError):
@@ -95,7 +95,7 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Truncated | None:
         """What is written; None: the connection is reset without an answer."""
         raise NotImplementedError
 
@@ -153,7 +153,7 @@
         self.partner, self.id = partner, f"e{partner.spec.dest}-{number}"
         self.state = "active"
 
-    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Truncated | None:
         partner, events = self.partner, self.partner.events
         spec, capacity, headers = partner.spec, partner.capacity, message.headers
         if message.start is None or message.start[:2] != ("POST", "/hook"):
@@ -228,7 +228,7 @@
         self.cost_s = 0.0  # of its time for each call
         self.slow_s = 0.0
         self.older = 0  # versions that it has gone back by
-        self.torn = False  # answers are reset half-way
+        self.resets = False  # answers are reset half-way
         self.patience_s = 2.0  # s after which a call that has waited fails
         self._free_at = 0.0
         self._news = asyncio.Event()
@@ -252,15 +252,15 @@
         cost_s: float | None = None,
         slow_s: float | None = None,
         older: int | None = None,
-        torn: bool | None = None,
+        resets: bool | None = None,
     ) -> None:
         """How it fares from now on; what is not named stays."""
         self.down = self.down if down is None else down
         self.cost_s = self.cost_s if cost_s is None else cost_s
         self.slow_s = self.slow_s if slow_s is None else slow_s
         self.older = self.older if older is None else older
-        self.torn = self.torn if torn is None else torn
-        serves = not (self.cost_s or self.older or self.torn)
+        self.resets = self.resets if resets is None else resets
+        serves = not (self.cost_s or self.older or self.resets)
         self.events.add("discovery", down=self.down, serves=serves, slow_s=self.slow_s)
         if self.down and not self.pushed:  # watches end
             for writer in list(self._writers):
@@ -289,7 +289,7 @@
             "started_ms": 0,
         }
 
-    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Torn | None:
+    async def answer(self, member: str, message: Message, peer: Place) -> bytes | Truncated | None:
         assert message.start is not None
         method, path, _ = message.start
         if method == "POST" and path == "/v1/notices":
@@ -312,7 +312,7 @@
         self.events.add("list-call", member=member, watch=watch)
         return await self._list(member, path, wait_s, peer)
 
-    async def _list(self, member: str, path: str, wait_s: float, peer: Place) -> bytes | Torn | None:
+    async def _list(self, member: str, path: str, wait_s: float, peer: Place) -> bytes | Truncated | None:
         if self.down and not self.pushed:
             return None
         loop = asyncio.get_running_loop()
@@ -330,8 +330,8 @@
         if index >= self.version and not self.older:
             found = {"version": index, "full": False, "servers": []}
         answer = response(200, "OK", {"Content-Type": "application/json"}, json.dumps(found).encode())
-        if self.torn:
-            return Torn(answer[: len(answer) // 2])
+        if self.resets:
+            return Truncated(answer[: len(answer) // 2])
         if self._carries(member, peer):
             self.told(member, found)
         return answer
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,12 +13,14 @@
     "tests/lab/test_rig.py": "senders",
     "tests/recovery/test_fleets.py": "fleets",
     "tests/budgets/test_processes.py": "budgets",
+    "tests/lab/test_drains.py": "drains",
 }
 _PURE = (
     "tests/tenants/test_fleet", "tests/tenants/test_model", "tests/tenants/test_counts",
     "tests/tenants/test_recovery",
     "tests/tenants/test_quota", "tests/tenants/test_wire", "tests/test_rules", "tests/test_fleet_growth",
-    "tests/test_wire", "tests/lab/test_pure", "tests/recovery/test_pure", "tests/recovery/test_module",
+    "tests/test_wire", "tests/lab/test_pure", "tests/lab/test_notified",
+    "tests/recovery/test_pure", "tests/recovery/test_module",
     "tests/test_http1", "tests/test_amqp_codec", "tests/connections/test_states",
     "tests/connections/test_decisions",
     "tests/test_journal", "tests/budgets/",
--- a/tests/lab/test_notified.py
+++ b/tests/lab/test_notified.py
@@ -82,7 +82,14 @@
         id="a failure before the last answer",
     ),
     pytest.param(
-        life(replace(WATCH, ended=3.0), slow=[Slowness(Span(0.0, 20.0), 2.0)]), 12.0, id="slow discovery"
+        life(replace(WATCH, ended=3.0), slow=[Slowness(Span(0.0, 20.0), 2.0)]),
+        10.0,
+        id="slow discovery can be reached",
+    ),
+    pytest.param(
+        life(replace(WATCH, ended=3.0), slow=[Slowness(Span(0.0, 20.0), 2.5)]),
+        26.0,
+        id="slower than a call waits it cannot",
     ),
 ]
 MOVED = [
@@ -275,7 +282,7 @@
         ("[fleet]\ndiscovery = 'pushed'", "fleet.discovery: subscribe or automatic"),
         ("[fleet]\ndiscovery = 'automatic'", "fleet.discovery: automatic is for fleet.front"),
         ("[[fault]]\nat = 1\ndo = 'move-discovery'", "fault[0].do: move-discovery is for fleet.front"),
-        ("[[fault]]\nat = 1\ndo = 'discovery-torn'", "fault[0].do: discovery-torn is for fleet.front"),
+        ("[[fault]]\nat = 1\ndo = 'discovery-reset'", "fault[0].do: discovery-reset is for fleet.front"),
         ("[[fault]]\nat = 1\ndo = 'link'\nhalf_open = true", "fault[0].half_open: needs silent"),
         (
             "[[fault]]\nat = 1\ndo = 'link'\nsilent = 'both'\nhalf_open = true",
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -14,7 +14,8 @@
 
 from mountgauge.core.config import ConfigError
 from mountgauge.lab.cli import main
-from mountgauge.lab.rig.events import read
+from mountgauge.lab.rig.events import Events, read
+from mountgauge.lab.rig.list_calls import ListCallRecorder
 from mountgauge.lab.rig.mutants import MUTANTS
 from mountgauge.lab.rig.network_conditions import NetworkConditions
 from mountgauge.lab.rig.oracle import judge
@@ -83,6 +84,61 @@
     run(main())
 
 
+def test_a_half_open_silence_lasts_for_what_it_meets_and_lets_dials_hang() -> None:
+    async def main() -> None:
+        echo, who = Echo(), dict[Place, str]()
+        link = StreamProxy("m01", "echo", await echo.start(), "seed", who)
+        await link.start()
+        reader, writer = await asyncio.open_connection(*link.place)
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        (target_side,) = who
+        assert link.carries_from(target_side)
+        link.set(NetworkConditions(silent="both", half_open=True))
+        assert not link.carries_from(target_side)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(asyncio.open_connection(*link.place), 0.5)
+        link.set(NetworkConditions())
+        again, writes_again = await asyncio.open_connection(*link.place)
+        writes_again.write(b"two")
+        assert await asyncio.wait_for(again.readexactly(3), 5) == b"two"
+        writer.write(b"three")
+        await asyncio.sleep(0.1)
+        assert b"three" not in echo.heard and not link.carries_from(target_side), "it stays silent"
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert not echo.ended, "nobody was told"
+        link.close()
+
+    run(main())
+
+
+def test_a_link_to_discovery_tells_what_a_member_asks_though_nothing_arrives() -> None:
+    async def main() -> None:
+        echo, events = Echo(), Events(asyncio.get_running_loop().time)
+        link = StreamProxy("m01", "discovery", await echo.start(), "seed", {})
+        link.watcher = ListCallRecorder("m01", "a", events)
+        await link.start()
+        link.set(NetworkConditions(silent="both"))
+        _, writer = await asyncio.open_connection(*link.place)
+        writer.write(b"GET /registry/instances?index=4&wait=2500 HTTP/1.1\r\n\r\n")
+        await until(lambda: bool(events.all))
+        writer.close()
+        await until(lambda: len(events.all) == 2)
+        link.set(NetworkConditions(refuse=True))
+        reader, _ = await asyncio.open_connection(*link.place)
+        assert await asyncio.wait_for(_gone(reader), 5)
+        assert [(event.kind, event.fields) for event in events] == [
+            ("list-ask", {"member": "m01", "connection": "a/1", "watch": True, "wait_s": 2.5}),
+            ("list-end", {"member": "m01", "connection": "a/1"}),
+            ("dial-refused", {"member": "m01"}),
+        ]
+        assert echo.heard == b""
+        link.close()
+
+    run(main())
+
+
 async def _gone(reader: asyncio.StreamReader) -> bool:
     try:
         return await reader.read(1) == b""
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -28,8 +28,9 @@
     "crash-loop": 9.0, "reconnect": 8.0,
 }  # fmt: skip
 BUDGETS = {"kill": 18.0, "rough": 18.0, "strict": 12.0}
-_PLAYED = {"scenes": SCENES, "fleets": FLEETS, "budgets": BUDGETS}
-_FOLDER = {"scenes": "comeback", "fleets": "comeback", "budgets": "budgets"}
+DRAINS = {"drains": 20.0, "drains-pushed": 14.0}
+_PLAYED = {"scenes": SCENES, "fleets": FLEETS, "budgets": BUDGETS, "drains": DRAINS}
+_FOLDER = {"scenes": "comeback", "fleets": "comeback", "budgets": "budgets", "drains": "rig"}
 SENDERS = ("unchanged", *MUTANTS)
 _AT_ONCE = 3  # fleets of up to twelve senders, beside the other tests
 _LIMIT = 240.0  # s that a rig may take, however slow the machine
