Prove the rig's clauses on silence with a mutated sender

The mutated sender that is deaf to drains is told by a written list, so none showed that the oracle names a real process by what was never written to it.

`waits-on-silence` gives a call for the list up only after 60 s. It plays drains.toml beside the unchanged sender; m01, whose watch a cut leaves half open, is named by the silence alone, and the unchanged m01 is not.

--- a/mountgauge/lab/rig/mutants.py
+++ b/mountgauge/lab/rig/mutants.py
@@ -2,7 +2,8 @@
 
     python -m mountgauge.lab.rig.mutants NAME run FILE
 
-`MUTANTS` maps each name to the rule that it breaks and to what is changed in the program before it starts.
+`MUTANTS` maps each name to the rule that it breaks and to what is changed in the program before it starts;
+`ON_DRAINS` has those whose fault shows only where discovery fails, as in `experiments/rig/drains.toml`.
 """
 
 from __future__ import annotations
@@ -17,10 +18,14 @@
 from mountgauge.core import sender as core
 from mountgauge.core.journal import Journal
 from mountgauge.core.ports import Call, End, Status
+from mountgauge.http1 import Client, Message
 from mountgauge.next_hops import HttpNextHops
 from rillspindle import interface
 from rillspindle.interface import Readiness
 
+_LIST_CALL = b"GET /registry/instances"
+_PATIENT_S = 60.0  # s: longer than a scene
+
 
 def _forgets() -> None:
     """Says +OK without a record: what it holds is gone with its process."""
@@ -114,6 +119,18 @@
     setattr(notices.Notices, "tell", late)  # noqa: B010
 
 
+def _waits_on_silence() -> None:
+    """Gives a call for the list up only long after it fell silent."""
+    exchange = Client.exchange
+
+    async def patient(self: Client, data: bytes, limit: float, connect_limit: float = 1.5) -> Message:
+        if data.startswith(_LIST_CALL):
+            limit = max(limit, _PATIENT_S)
+        return await exchange(self, data, limit, connect_limit)
+
+    setattr(Client, "exchange", patient)  # noqa: B010
+
+
 MUTANTS: dict[str, tuple[str, Callable[[], None]]] = {
     "forgets": ("final", _forgets),
     "never-tells": ("final", _never_tells),
@@ -125,6 +142,8 @@
     "deaf-to-drains": ("drain", _deaf_to_drains),
 }
 
+ON_DRAINS: dict[str, tuple[str, Callable[[], None]]] = {"waits-on-silence": ("drain", _waits_on_silence)}
+
 if __name__ == "__main__":
-    MUTANTS[sys.argv[1]][1]()
+    (MUTANTS | ON_DRAINS)[sys.argv[1]][1]()
     sys.exit(main(sys.argv[2:]))
--- a/tests/lab/test_drains.py
+++ b/tests/lab/test_drains.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mountgauge.lab.rig.events import Event
-from tests.rigs import DRAINS, Played
+from tests.rigs import DRAINS, MUTATED, Played
 
 ASKED = {  # what befalls the member's way to discovery where lists are asked for
     "m01": "a cut that leaves its watch half open",
@@ -45,6 +45,15 @@
     assert {member: (len(verdicts), verdicts[:2]) for member, verdicts in found.items() if verdicts} == {}
 
 
+@pytest.mark.parametrize("scene", MUTATED)
+def test_the_oracle_names_a_mutated_sender_that_was_never_told(
+    played: Mapping[str, Played], scene: str
+) -> None:
+    """The watch of m01 stays silent: no list that names the change is written to it."""
+    assert set(played[scene].judged.rules) == {"drain"}
+    assert broken(played[scene], "m01"), "by its silence alone"
+
+
 @pytest.mark.parametrize("scene", DRAINS)
 def test_the_senders_serve_throughout(played: Mapping[str, Played], scene: str) -> None:
     one = played[scene]
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from mountgauge.lab.rig.events import Event, read
-from mountgauge.lab.rig.mutants import MUTANTS
+from mountgauge.lab.rig.mutants import MUTANTS, ON_DRAINS
 from mountgauge.lab.rig.oracle import Judged, judge
 from mountgauge.lab.rig.schedule import Schedule, load
 
@@ -29,7 +29,13 @@
 }  # fmt: skip
 BUDGETS = {"kill": 18.0, "rough": 18.0, "strict": 12.0}
 DRAINS = {"drains": 20.0, "drains-pushed": 14.0}
-_PLAYED = {"scenes": SCENES, "fleets": FLEETS, "budgets": BUDGETS, "drains": DRAINS}
+MUTATED = {f"drains-{mutant}": ("drains", mutant) for mutant in ON_DRAINS}  # the scene, and the sender in it
+_PLAYED = {
+    "scenes": SCENES,
+    "fleets": FLEETS,
+    "budgets": BUDGETS,
+    "drains": DRAINS | dict.fromkeys(MUTATED, 20.0),
+}
 _FOLDER = {"scenes": "comeback", "fleets": "comeback", "budgets": "budgets", "drains": "rig"}
 SENDERS = ("unchanged", *MUTANTS)
 _AT_ONCE = 3  # fleets of up to twelve senders, beside the other tests
@@ -42,6 +48,19 @@
 )
 
 
+_MUTANTS = ("-m", "mountgauge.lab.rig.mutants")
+
+
+def _file(batch: str, name: str) -> Path:
+    scene, _ = MUTATED.get(name, (name, ""))
+    return EXPERIMENTS / _FOLDER[batch] / f"{scene}.toml"
+
+
+def _mutated(name: str) -> tuple[str, ...]:
+    """What stands in place of the program's own module; nothing where the sender is unchanged."""
+    return (*_MUTANTS, MUTATED[name][1]) if name in MUTATED else ()
+
+
 class Rigs:
     """Batches of rigs, one batch after another, each rig in a process of its own."""
 
@@ -68,20 +87,20 @@
             before.join()
         for batch in batches:
             if batch in _PLAYED:
-                wanted = [
-                    (name, (EXPERIMENTS / _FOLDER[batch] / f"{name}.toml", name, seconds))
-                    for name, seconds in _PLAYED[batch].items()
-                ]
-                for begin in range(0, len(wanted), _AT_ONCE):
-                    self._wait({name: self._rig(*how) for name, how in wanted[begin : begin + _AT_ONCE]})
+                names = list(_PLAYED[batch])
+                for begin in range(0, len(names), _AT_ONCE):
+                    self._wait({name: self._scene(batch, name) for name in names[begin : begin + _AT_ONCE]})
             else:
                 rigs = {}
                 for name in SENDERS:
-                    mutant = [] if name == "unchanged" else ["-m", "mountgauge.lab.rig.mutants", name]
+                    mutant = [] if name == "unchanged" else [*_MUTANTS, name]
                     rigs[name] = self._rig(EVERY_RULE, name, 7.0, *mutant)
                 self._wait(rigs)
             self._done[batch].set()
 
+    def _scene(self, batch: str, name: str) -> subprocess.Popen[bytes]:
+        return self._rig(_file(batch, name), name, _PLAYED[batch][name], *_mutated(name))
+
     def _wait(self, rigs: Mapping[str, subprocess.Popen[bytes]]) -> None:
         for name, rig in rigs.items():
             try:
@@ -123,10 +142,7 @@
     @classmethod
     def all(cls, batch: str) -> dict[str, Played]:
         root = RIGS.wait(batch)
-        return {
-            name: cls(load(EXPERIMENTS / _FOLDER[batch] / f"{name}.toml"), root / name)
-            for name in _PLAYED[batch]
-        }
+        return {name: cls(load(_file(batch, name)), root / name) for name in _PLAYED[batch]}
 
     def logs(self, event: str) -> list[dict[str, Any]]:
         return [
