--- a/mountgauge/lab/rig/mutants.py
+++ b/mountgauge/lab/rig/mutants.py
@@ -18,12 +18,11 @@
 from mountgauge.core import sender as core
 from mountgauge.core.journal import Journal
 from mountgauge.core.ports import Call, End, Status
-from mountgauge.http1 import Client, Message
 from mountgauge.next_hops import HttpNextHops
+from mountgauge.platform import watch, watch_bounds
 from rillspindle import interface
 from rillspindle.interface import Readiness
 
-_LIST_CALL = b"GET /registry/instances"
 _PATIENT_S = 60.0  # s: longer than a scene
 
 
@@ -120,15 +119,9 @@
 
 
 def _waits_on_silence() -> None:
-    """Gives a call for the list up only long after it fell silent."""
-    exchange = Client.exchange
-
-    async def patient(self: Client, data: bytes, limit: float, connect_limit: float = 1.5) -> Message:
-        if data.startswith(_LIST_CALL):
-            limit = max(limit, _PATIENT_S)
-        return await exchange(self, data, limit, connect_limit)
-
-    setattr(Client, "exchange", patient)  # noqa: B010
+    """Asks for the list again only long after a call has fallen silent."""
+    setattr(watch, "ANSWER_MARGIN_S", _PATIENT_S)  # noqa: B010
+    setattr(watch_bounds.WatchBounds, "limit_s", lambda bounds, calls: _PATIENT_S)  # noqa: B010
 
 
 MUTANTS: dict[str, tuple[str, Callable[[], None]]] = {
