Say that a delta is incomplete where an entry of it names no endpoint

Cause: Names.update skipped an entry that names no id (config.py, the handler around _hop) and moved the version on, so the change that the entry carried was lost until a whole list happened to be asked for; and _hop took any JSON value as an id (str(line["id"]): null became an endpoint "None"). A version of 1e999 raised OverflowError, which the watch took for a fault of its own, and "full": null or "false" was read by its truth: "false" as a whole list, which drops every endpoint that the delta does not name.

Change: MapUpdate.incomplete is true for a delta with an entry that names no endpoint, or that tells one endpoint in two states or at two places; one log line names the version. An id is a string or a whole number. A version that is no number and a `full` that is neither true nor false make the list unreadable. Whoever watches can then ask for the whole list at once; this commit does not change the watch.

Measured: 3 of the 15 unreadable lists of the new test were not a ValueError before (infinite version, `full` null and "false"); the 16 entries failed for the missing field. All 31 pass now, with the rest of test_peers.

--- a/mountgauge/core/config.py
+++ b/mountgauge/core/config.py
@@ -46,6 +46,9 @@
     version: int
     full: bool
     hops: tuple[NextHop, ...]
+    # A change is not in `hops`, as its entry names no endpoint, or one endpoint in two states: only a whole
+    # list tells what is. A whole list isn't incomplete: whatever it doesn't name is gone.
+    incomplete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,25 +63,31 @@
         """Discovery's form of the list, checked; ValueError where it is not that."""
         try:
             lines = list(raw["servers"])
-            version, full = int(raw["version"]), bool(raw["full"])
-        except (KeyError, TypeError, IndexError) as error:
+            version, full = int(raw["version"]), raw["full"]
+            if not isinstance(full, bool):
+                raise TypeError(f"full: {full!r}")
+        except (KeyError, TypeError, IndexError, OverflowError) as error:
             raise ValueError(f"not a list of endpoints: {error!r}") from None
-        hops = []
+        hops, unnamed = [], 0
         for line in lines:
             try:
                 hops.append(self._hop(line))
             except (KeyError, TypeError, IndexError, ValueError, OverflowError, AttributeError) as error:
                 # The others still hold. What this one has become is not known, so nothing new goes there.
                 log.warning("entry-not-read", extra=kv(entry=str(line)[:200], error=repr(error)[:200]))
-                if isinstance(line, dict) and isinstance(name := line.get("id"), str):
-                    gone = Entry(Readiness.GONE, 0.0, 0.0, 0, -1, 0, name.encode(errors="replace"))
-                    hops.append(NextHop(name, "", 0, gone))
+                try:
+                    hops.append(_unread(_id(line)))
+                except (KeyError, TypeError, IndexError, ValueError):
+                    unnamed += 1
         if full and lines and all(hop.entry.readiness == Readiness.GONE for hop in hops):
             raise ValueError("no endpoint of the list can be read")
-        return MapUpdate(version, full, tuple(hops))
+        incomplete = not full and bool(unnamed or _contradicts_itself(hops))
+        if incomplete:
+            log.warning("delta-incomplete", extra=kv(version=version, unnamed=unnamed, entries=len(lines)))
+        return MapUpdate(version, full, tuple(hops), incomplete)
 
     def _hop(self, line: Mapping[str, Any]) -> NextHop:
-        address = Address.parse(line["addr"], "addr")
+        address, hop_id = Address.parse(line["addr"], "addr"), _id(line)
         entry = Entry(
             readiness=_STATES[line["state"]],
             boot_time=float(line.get("started_ms", 0)) / 1000,
@@ -86,9 +95,33 @@
             zone=self.zones.index(line["zone"]) if line.get("zone") in self.zones else 0,
             owner=int(line["cell"]),
             kind=self.kinds.index(line["kind"]),
-            endpoint=str(line["id"]).encode(),
+            endpoint=hop_id.encode(),
         )
-        return NextHop(str(line["id"]), address.host, address.port, entry)
+        return NextHop(hop_id, address.host, address.port, entry)
+
+
+def _id(line: Mapping[str, Any]) -> str:
+    """The id that an entry names; ValueError and the like where it names none."""
+    name = line["id"]
+    if not isinstance(name, str | int) or isinstance(name, bool) or name == "":
+        raise ValueError(f"id: {name!r}")
+    return str(name)
+
+
+def _unread(hop_id: str) -> NextHop:
+    """An endpoint of which an entry could not be read: it has no place, and nothing new goes there."""
+    gone = Entry(Readiness.GONE, 0.0, 0.0, 0, -1, 0, hop_id.encode(errors="replace"))
+    return NextHop(hop_id, "", 0, gone)
+
+
+def _contradicts_itself(hops: list[NextHop]) -> bool:
+    """Whether an id stands several times in different states or at different places."""
+    found: dict[str, object] = {}
+    return any(found.setdefault(hop.id, _told(hop)) != _told(hop) for hop in hops)
+
+
+def _told(hop: NextHop) -> object:
+    return hop.host, hop.port, hop.entry.owner, hop.entry.readiness
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -207,3 +207,46 @@
         await server.stop()
 
     run(main())
+
+
+LINE = {"id": "s-1", "addr": "127.0.0.1:80", "zone": "b", "kind": "m2", "cell": 3, "state": "active"}
+
+
+@pytest.mark.parametrize(("entry", "incomplete"), [
+    (7, True), ({}, True), (None, True), ([], True), ("s-2", True), ({**LINE, "id": None}, True),
+    ({**LINE, "id": ""}, True), ({**LINE, "id": True}, True), ({**LINE, "id": ["s-2"]}, True),
+    ({**LINE, "id": {}, "state": "odd"}, True),
+    ({**LINE, "id": "s-2", "state": "odd"}, False),  # it names its endpoint: nothing new goes there
+    ({**LINE, "id": 2, "addr": "nowhere"}, False),
+    ({**LINE, "state": "leaving"}, True),  # one endpoint in two states
+    ({**LINE, "addr": "127.0.0.1:81"}, True),  # at two places
+    ({**LINE, "weight": 2.0}, False), (LINE, False),
+])  # fmt: skip
+def test_a_delta_whose_entry_names_no_endpoint_says_that_it_is_incomplete(
+    entry: Any, incomplete: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The change that it carried would be lost while the version moves on; a whole list loses nothing."""
+    for full in (False, True):
+        for lines in ([entry, LINE], [LINE, entry]):
+            caplog.clear()
+            update = NAMES.update({"version": 3, "full": full, "servers": lines})
+            assert update.incomplete is (incomplete and not full)
+            assert {hop.id for hop in update.hops} <= {"s-1", "s-2", "2"}
+            said = [record.message for record in caplog.records if record.message == "entry-not-read"]
+            assert len(said) <= 1, "one line for each entry"
+            assert (not full and incomplete) == any(
+                one.message == "delta-incomplete" for one in caplog.records
+            )
+
+
+@pytest.mark.parametrize("raw", [
+    None, 7, [], {}, "servers", {"version": 1, "full": True}, {"servers": [], "full": True},
+    {"servers": [], "version": 1}, {"servers": 7, "version": 1, "full": True},
+    {"servers": [], "version": "x", "full": True}, {"servers": [], "version": None, "full": True},
+    {"servers": [], "version": float("inf"), "full": True}, {"servers": [], "version": 1, "full": None},
+    {"servers": [], "version": 1, "full": "false"}, {"servers": [7], "version": 1, "full": True},
+])  # fmt: skip
+def test_a_list_that_cannot_be_read_is_a_value_error_of_one_line(raw: Any) -> None:
+    with pytest.raises(ValueError) as told:
+        NAMES.update(raw)
+    assert "\n" not in str(told.value)
