Keep a drained endpoint out of use until a list as new says it is active

Cause: HopTable.learn put every entry of an update into force, whatever its version. A list older than what was known (an address or replica of discovery that lags behind, a whole list after SIGHUP) turned an endpoint that was told as leaving or left back to active, and calls went to it until discovery told of the drain again. An id that one update told as draining and as active was what its last entry said. A sharded sender forgets a shard with its last message, with the version it was held at, so a relay that lags behind did the same.

Change: core/drain_memory.py remembers, by id, address and destination, the newest version that told of a drain, of a removal, of the endpoint's absence from a whole list or of its move. An entry that has such a place as active drains on until a version at least as new says so. Versions that begin anew for good are believed after WITHHELD_FOR_S = 10 + 6 + 4 = 20 s of contradiction; HopTable.review then brings the endpoint back, on a timer of the core. In one update a draining entry counts against an active one for its place, and an entry that could not be read against any. A delta still costs what it names. MapUpdate.versions lets the shard map date each entry by its shard; an endpoint that moves between shards is only told where it is put.

--- a/mountgauge/core/config.py
+++ b/mountgauge/core/config.py
@@ -5,7 +5,7 @@
 import logging
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -49,6 +49,11 @@
     # A change is not in `hops`, as its entry names no endpoint, or one endpoint in two states: only a whole
     # list tells what is. A whole list isn't incomplete: whatever it doesn't name is gone.
     incomplete: bool = False
+    versions: Mapping[str, int] = field(default_factory=dict)  # by id: of entries as of another version
+
+    def version_of(self, hop_id: str) -> int:
+        """As of which version this update tells of an endpoint."""
+        return self.versions.get(hop_id, self.version)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mountgauge/core/hop_table.py
+++ b/mountgauge/core/hop_table.py
@@ -1,6 +1,10 @@
 """The next hops that the core knows: as listed, as operators and budgets have it, and for how long a
 destination counts as one that exists. No I/O, no clock: times are parameters, in seconds, and never go back.
 
+An endpoint that was told as draining or gone isn't active again through an older list (`drain_memory`): it
+is kept as draining meanwhile. Where one update names an id several times the last entry counts, but for one
+place (address and destination) an entry that says draining or gone counts whatever stands behind it.
+
 A delta costs what it names, whatever else is listed; a whole list is linear in what was and what is listed.
 """
 
@@ -12,6 +16,7 @@
 from dataclasses import dataclass
 
 from mountgauge.core.config import MapUpdate
+from mountgauge.core.drain_memory import DrainMemory, Place
 from mountgauge.core.ports import NextHop
 from rillspindle.interface import Entry, Readiness
 
@@ -24,6 +29,7 @@
 
     entries: tuple[Entry, ...]  # for the decision module, in order
     closing: list[str]  # ids of next hops whose kept connections lead nowhere any more, in the list's order
+    review_at: float | None = None  # when `HopTable.review` has something to say, unless lists say it before
 
 
 class HopTable:
@@ -36,7 +42,9 @@
         self.listed: dict[int, float] = {}  # destinations, and until when each counts as one that exists
         self.ever: set[str] = set()  # ids ever listed
         self.detached: set[str] = set()  # ids that operators took out: draining, whatever is listed
+        self.withheld: dict[str, float] = {}  # ids active in an older list alone: until when they drain
         self.parts: dict[int, float] = {}  # by destination: calls/s of its budget that are this sender's
+        self._drains = DrainMemory()
         self._places: dict[str, int] = {}  # by id: a number that rises in the list's order
         self._last_place = 0
         self._sizes: dict[int, int] = {}  # by destination: how many hops it has
@@ -49,12 +57,16 @@
         if whole:
             dests.update(self._sizes)
             before, self.hops, self.listed_hops = self.hops, {}, {}
-            self._places, self._sizes, self._ids = {}, {}, None
+            self._places, self._sizes, self._ids, self.withheld = {}, {}, None, {}
         else:
             before = self._named(update)
         entries = list[Entry]()
+        draining = {_told_of(hop) for hop in update.hops if hop.entry.readiness != Readiness.READY}
+        review_at = math.inf
         for listed in update.hops:
             self.ever.add(listed.id)
+            until = self._withhold(listed, update.version_of(listed.id), draining, now)
+            review_at = min(review_at, until)
             hop = self._maintained(listed)
             dests.add(hop.entry.owner)
             if (old := before.get(hop.id)) is not None:
@@ -62,6 +74,7 @@
                 if (*old[:3], old.entry.owner) != (*hop[:3], hop.entry.owner):
                     # Under an old id at a new place it is another: it must inherit nothing.
                     entries.append(old.entry._replace(readiness=Readiness.GONE))
+                    self._drains.note(Place.of(old), update.version_of(old.id), now)
             entries.append(hop.entry)
             if hop.entry.readiness == Readiness.GONE:
                 self._remove(hop.id)
@@ -71,8 +84,36 @@
         for hop_id, old in before.items():
             if (new := self.hops.get(hop_id)) is None or new[:3] != old[:3]:
                 closing.append(hop_id)
+            if new is None:
+                self._drains.note(Place.of(old), update.version_of(hop_id), now)
         self._date(dests, now)
-        return Change(tuple(entries), closing)
+        return Change(tuple(entries), closing, None if review_at == math.inf else review_at)
+
+    def _withhold(self, listed: NextHop, version: int, draining: set[Place | str], now: float) -> float:
+        """Note a drain; until when an entry that is active in an older list drains: inf, it does not."""
+        place = Place.of(listed)
+        self.withheld.pop(listed.id, None)
+        if listed.entry.readiness != Readiness.READY:
+            if listed.host:
+                self._drains.note(place, version, now)
+            return math.inf
+        if place in draining or listed.id in draining:
+            until: float | None = self._drains.contradicted(place, version, now)
+        else:
+            until = self._drains.withheld_until(place, version, now)
+        if until is None:
+            return math.inf
+        self.withheld[listed.id] = until
+        return until
+
+    def review(self, now: float) -> Change:
+        """The endpoints that have been withheld long enough are as listed."""
+        entries = []
+        for hop_id in [hop_id for hop_id, until in self.withheld.items() if until <= now]:
+            del self.withheld[hop_id]
+            hop = self.hops[hop_id] = self._maintained(self.listed_hops[hop_id])
+            entries.append(hop.entry)
+        return Change(tuple(entries), [], min(self.withheld.values(), default=None))
 
     def _named(self, update: MapUpdate) -> dict[str, NextHop]:
         """The known hops that a delta names, in the list's order."""
@@ -94,6 +135,7 @@
 
     def _remove(self, hop_id: str) -> None:
         self.listed_hops.pop(hop_id, None)
+        self.withheld.pop(hop_id, None)
         if (hop := self.hops.pop(hop_id, None)) is not None:
             del self._places[hop_id]
             self._leave(hop)
@@ -166,8 +208,13 @@
         return found
 
     def _maintained(self, hop: NextHop) -> NextHop:
-        if hop.id in self.detached and hop.entry.readiness == Readiness.READY:
+        if (hop.id in self.detached or hop.id in self.withheld) and hop.entry.readiness == Readiness.READY:
             hop = hop._replace(entry=hop.entry._replace(readiness=Readiness.DRAINING))
         if (part := self.parts.get(hop.entry.owner)) is not None:
             hop = hop._replace(entry=hop.entry._replace(scale=part * self.balancers))
         return hop
+
+
+def _told_of(hop: NextHop) -> Place | str:
+    """What an entry tells of: a place, or the id wherever it is where the entry names no place."""
+    return Place.of(hop) if hop.host else hop.id
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -77,6 +77,7 @@
         self._ready: list[Submission | io.Event] = []
         self._timers = Timers()
         self._turn_at = math.inf
+        self._review_at = math.inf
         self._stopped = False
 
     # The list, for reading
@@ -245,6 +246,25 @@
         self.version = update.version
         self.waits.sweep(now, _SWEPT + len(update.hops))
         self._ready.append(io.Targets(how, update.version, change.entries))
+        self._review_by(change.review_at)
+
+    def _review_by(self, when: float | None) -> None:
+        if when is not None and when < self._review_at:
+            self._review_at = when
+            self.clock.call_at(when, lambda: self._review(when))
+
+    def _review(self, when: float) -> None:
+        """Endpoints that only older lists have as active are so after a while: versions have begun anew."""
+        if when != self._review_at:
+            return
+        self._review_at = math.inf
+        change = self.table.review(max(when, self.clock.now()))
+        if change.entries:
+            ids = ",".join(entry.endpoint.decode(errors="replace") for entry in change.entries)
+            log.warning("older-list-believed", extra=kv(version=self.version, active=ids[:200]))
+            self._ready.append(io.Targets(io.ListKind.DELTA, self.version, change.entries))
+            self._soon()
+        self._review_by(change.review_at)
 
     def retune(self, rules: io.Settings, names: Names) -> None:
         """New settings from a reread file: messages under way keep the class that the module gave them."""
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -11,7 +11,7 @@
 import logging
 import math
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -58,6 +58,12 @@
     return NextHop(record.id, "", 0, entry)
 
 
+def gone_for_good(update: Update) -> Iterator[EndpointRecord]:
+    """The endpoints of an update that are no more: one that has moved is where it is put."""
+    put = {record.id for record in update.put}
+    return (record for record in update.gone if record.id not in put)
+
+
 class ShardMap:
     """The core's map and the scope of what it takes on, over a subscription."""
 
@@ -101,7 +107,7 @@
         update = self.subscription.restore(snapshots, kept.placement, self._loop.time() - age_s)
         log.info("kept-list", extra=kv(shards=len(snapshots), epoch=kept.placement.epoch,
                                        staleness_s=round(age_s, 3)))  # fmt: skip
-        return MapUpdate(self._version(), True, self._hops(update))
+        return self._map_update(True, update)
 
     def start(self) -> None:
         """Begin to ask relays."""
@@ -115,7 +121,7 @@
     def snapshot(self) -> None:
         """Tell the core the whole list, as it is held."""
         records = [one for shard in self.store.shards() for one in self.store.records(shard).values()]
-        self._tell(MapUpdate(self._version(), True, self._hops(Update(put=tuple(records)))))
+        self._tell(self._map_update(True, Update(put=tuple(records))))
 
     def look_now(self) -> bool:
         """The next answer to a call that is made from now on counts: it is still to come."""
@@ -136,8 +142,14 @@
         versions = [self.store.version(shard) for shard in self.store.shards()]
         return max(versions, default=NOTHING)
 
+    def _map_update(self, full: bool, update: Update) -> MapUpdate:
+        """Each entry is as of its shard's version: a shard that was let go may come back at an older one."""
+        named = [*update.gone, *update.put]
+        versions = {one.id: self.store.version(self.shard(one.destination)) for one in named}
+        return MapUpdate(self._version(), full, self._hops(update), versions=versions)
+
     def _hops(self, update: Update) -> tuple[NextHop, ...]:
-        hops = [gone_hop(record) for record in update.gone]
+        hops = [gone_hop(record) for record in gone_for_good(update)]
         for record in update.put:
             try:
                 hops.append(next_hop(record, self._settings.rate_per_weight))
@@ -166,11 +178,11 @@
             log.warning("no-placement", extra=kv(relay=call.relay, why="its file names no members"))
 
     def _changed(self, update: Update) -> None:
-        hops, version = self._hops(update), self._version()
-        if hops:
-            log.info("map", extra=kv(version=version, changed=len(hops)))
+        changed = self._map_update(False, update)
+        if changed.hops:
+            log.info("map", extra=kv(version=changed.version, changed=len(changed.hops)))
             self._keep_later()
-        self._tell(MapUpdate(version, False, hops))
+        self._tell(changed)
 
     def _placed(self, news: PlacementNews) -> None:
         shards = ",".join(str(one.shard) for one in news.shards[:32])
--- /dev/null
+++ b/tests/crossings/test_drains.py
@@ -0,0 +1,355 @@
+"""Where a drain crosses something else on its way to the last look: each is forced by what a peer has read,
+or by steps of the loop between which nothing else runs.
+
+A real core with its journal, discovery's map and next hops on loopback sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from mountgauge.amqp import codec
+from mountgauge.amqp.next_hops import AmqpNextHops
+from mountgauge.core import drain_memory
+from mountgauge.core.config import Address, MapUpdate, Names
+from mountgauge.core.journal import Journal
+from mountgauge.core.ports import Answer, Call, End, Submission
+from mountgauge.core.sender import Sender
+from mountgauge.http1 import response
+from mountgauge.next_hops import HttpNextHops
+from mountgauge.run.base import LoopClock
+from mountgauge.transport_map import TransportMap
+from rillspindle import Policy
+from tests.crossings.test_watches import Discovery
+from tests.helper import HOST, Broker, HttpHop, run, until
+from tests.settings import grade, settings
+
+NAMES = Names(("safe",), ("near", "far"), ("one", "many"))
+GRACE = 0.25 + 0.05  # s after which nothing may leave; what is told here is told long before
+MOST_CALLS = 16  # at once to one destination: half of the slots
+NOTHING_KNOWN = MapUpdate(-1, True, ())
+
+
+class HeldBroker(Broker):
+    """Reads nothing more from the first method named `hold_at` on, until it is let go on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hold_at = ""
+        self.held, self.go_on = asyncio.Event(), asyncio.Event()
+
+    async def start(self) -> None:
+        await super().start()
+        assert self._server is not None
+        for sock in self._server.sockets:  # little of what it does not read is on the way to it
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        whole = reader.readexactly
+
+        async def readexactly(count: int) -> bytes:
+            data = await whole(count)
+            if count != 7 and data[-1] == codec.FRAME_END and self.hold_at:  # 7: a frame's head
+                with contextlib.suppress(codec.AmqpError):
+                    if codec.decode_method(data[:-1]).name == self.hold_at:
+                        self.held.set()
+                        await self.go_on.wait()
+            return data
+
+        setattr(reader, "readexactly", readexactly)  # noqa: B010
+        await super().serve(reader, writer)
+
+
+class World:
+    """A sender that watches a scripted discovery, and endpoints that note what they are sent."""
+
+    next_hops: HttpNextHops | AmqpNextHops
+
+    def __init__(self, folder: Path, endpoints: int = 1, protocol: str = "http") -> None:
+        self.folder, self.discovery, self.protocol = folder, Discovery(), protocol
+        self.hops = [HttpHop() if protocol == "http" else HeldBroker() for _ in range(endpoints)]
+        self.numbers = itertools.count()
+        self.answers: list[Answer] = []
+
+    async def __aenter__(self) -> World:
+        for server in (self.discovery, *self.hops):
+            await server.start()
+        self.sender = self.make_sender()
+        self.sender.start(NOTHING_KNOWN)
+        return self
+
+    def make_sender(self) -> Sender:
+        extra = {**settings()["extra"], "workers": 32}
+        env = settings(grades=[grade(aim=8.0)], discovery="subscribe", extra=extra)
+        self.journal = Journal(self.folder, 100_000_000)
+        sender = Sender(Policy(env, 1), NAMES, self.journal, LoopClock(), {"platform": self})
+        self.map = TransportMap(sender, Address(HOST, self.discovery.port), NAMES, 30.0)
+        if self.protocol == "http":
+            self.next_hops = HttpNextHops(sender, 4.0, 5.0, 16)
+        else:
+            self.next_hops = AmqpNextHops(sender, 4.0, 60.0, 16, {})
+        sender.map, sender.next_hops = self.map, self.next_hops
+        return sender
+
+    async def __aexit__(self, *_: object) -> None:
+        self.sender.stop()
+        self.map.close()
+        self.next_hops.close()
+        for server in (self.discovery, *self.hops):
+            await server.stop()
+        await asyncio.sleep(0)
+        self.journal.close()
+
+    def tell(self, msg_id: str, end: End, told: Any) -> None:
+        told()
+
+    def line(self, state: str, hop: int = 0, **fields: Any) -> dict[str, Any]:
+        return {"id": f"e{hop}", "addr": f"{HOST}:{self.hops[hop].port}", "zone": "near", "kind": "one",
+                "cell": 7, "state": state, "weight": 1.0, "started_ms": 0, **fields}  # fmt: skip
+
+    async def told(self, call: int, version: int, full: bool, *lines: dict[str, Any]) -> None:
+        """Discovery answers its call of this number; the answer has been taken in when this returns."""
+        writer = await self.discovery.called(call)
+        body = orjson.dumps({"version": version, "full": full, "servers": lines})
+        writer.write(response(200, "OK", {}, body))
+        await until(lambda: len(self.discovery.paths) > call)
+
+    def broker(self, hop: int = 0) -> HeldBroker:
+        found = self.hops[hop]
+        assert isinstance(found, HeldBroker)
+        return found
+
+    def submit(self, body: bytes = b"x") -> str:
+        name = f"m{next(self.numbers)}"
+        one = Submission(name, 0, 8.0, 7, "", body, "platform", self.answers.append, lambda: True)
+        self.sender.submit(one)
+        return name
+
+    async def quiet(self) -> None:
+        """A message is taken on, and none of its bytes leave while the grace passes."""
+        calls, count = [len(hop.calls) for hop in self.hops], len(self.answers)
+        self.submit()
+        await until(lambda: len(self.answers) > count)
+        await asyncio.sleep(GRACE)
+        assert [len(hop.calls) for hop in self.hops] == calls, "sent to a draining or removed endpoint"
+
+    async def sent(self, hop: int = 0) -> None:
+        count = len(self.hops[hop].calls)
+        self.submit()
+        await until(lambda: len(self.hops[hop].calls) > count)
+
+
+@pytest.mark.parametrize("state", ["leaving", "left", "absent"])
+@pytest.mark.parametrize("full", [True, False])
+def test_an_older_list_does_not_bring_back_what_a_newer_one_took_out(
+    tmp_path: Path, state: str, full: bool
+) -> None:
+    """Discovery's other replica lags behind: its list is of a version from before the drain."""
+
+    async def main() -> None:
+        async with World(tmp_path, 2) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            if state == "absent":
+                await world.told(2, 50, True, world.line("leaving", 1))
+            else:
+                await world.told(2, 50, False, world.line(state))
+            await world.quiet()
+            await world.told(3, 45, full, world.line("active"))
+            await world.quiet()
+            assert world.discovery.paths[3].startswith("/registry/instances?index=45&"), "asked on from there"
+            await world.told(4, 50, False, world.line("active"))  # as new as the drain: it is back
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def test_an_older_list_after_a_move_of_discovery_does_not_bring_back_a_drained_endpoint(
+    tmp_path: Path,
+) -> None:
+    """SIGHUP moves discovery, and the whole list of the new address is of an older version."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("leaving"))
+            other = Discovery()
+            await other.start()
+            old, world.discovery = world.discovery, other
+            world.map.move(Address(HOST, other.port))
+            await world.told(1, 45, True, world.line("active"))
+            await world.quiet()
+            await world.told(2, 51, False, world.line("active"))
+            await until(lambda: len(world.hops[0].delivered) == 1)
+            await old.stop()
+
+    run(main())
+
+
+def test_versions_that_begin_anew_for_good_bring_an_endpoint_back_in_bounded_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing newer contradicts the lower versions any more: after the bound they are believed."""
+    monkeypatch.setattr(drain_memory, "WITHHELD_FOR_S", 2 * GRACE)
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("leaving"))
+            await world.told(3, 1, True, world.line("active"))
+            await world.quiet()
+            await until(lambda: world.hops[0].delivered, 2.0)
+            await world.told(4, 2, False, world.line("leaving"))  # the new count's drains hold at once
+            await world.quiet()
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["leaving", "left", "active"])
+def test_an_id_that_one_update_tells_as_active_and_as_draining_is_draining(
+    tmp_path: Path, first: str
+) -> None:
+    """Nothing says which of the two entries is the newer one."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            second = "active" if first != "active" else "leaving"
+            await world.told(2, 41, False, world.line(first), world.line(second))
+            await world.quiet()
+            await world.told(3, 41, True, world.line("active"))  # the whole list has the last word
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def test_an_id_back_at_a_new_address_is_another_endpoint_and_the_old_place_stays_gone(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with World(tmp_path, 2) as world:
+            moved = {**world.line("active", 1), "id": "e0"}
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await world.told(2, 50, False, world.line("left"), moved)
+            await world.sent(1)
+            await world.told(3, 45, True, world.line("active"))  # where it was
+            await world.quiet()
+            await world.told(4, 51, True, moved)
+            await until(lambda: len(world.hops[1].delivered) == 2)
+            assert len(world.hops[0].delivered) == 1
+
+    run(main())
+
+
+def test_an_id_back_under_a_new_destination_gets_nothing_of_the_old_ones(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await world.told(2, 50, False, world.line("active", cell=8))
+            await world.quiet()
+            await world.told(3, 45, True, world.line("active"))
+            await world.quiet()
+
+    run(main())
+
+
+def test_an_entry_that_cannot_be_read_stops_what_goes_to_its_endpoint(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("odd"))
+            await world.quiet()
+            await world.told(3, 45, True, world.line("active"))
+            await world.quiet()
+            await world.told(4, 50, True, world.line("active"))
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def drained_at_the_start(world: World, before: bool) -> None:
+    """The step that starts the next call also hears the drain, before or after it."""
+    start = world.next_hops.start
+    drain = NAMES.update({"version": 50, "full": False, "servers": [world.line("leaving")]})
+
+    def started(call: Call) -> None:
+        if before:
+            world.sender.list_changed(drain)
+        start(call)
+        if not before:
+            world.sender.list_changed(drain)
+
+    setattr(world.next_hops, "start", started)  # noqa: B010
+
+
+@pytest.mark.parametrize("protocol", ["http", "amqp"])
+def test_a_dial_that_comes_up_after_the_drain_carries_nothing(tmp_path: Path, protocol: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol=protocol) as world:
+            await world.told(1, 40, True, world.line("active"))
+            drained_at_the_start(world, before=False)
+            world.submit()
+            await until(lambda: world.hops[0].connections == 1)
+            await asyncio.sleep(GRACE)
+            assert not world.hops[0].calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("protocol", ["http", "amqp"])
+def test_a_connection_that_stands_carries_nothing_after_the_drain(tmp_path: Path, protocol: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol=protocol) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await until(lambda: not world.sender.calls)
+            drained_at_the_start(world, before=True)
+            await world.quiet()
+
+    run(main())
+
+
+def test_a_parked_call_looks_again_when_it_is_released(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            fresh = False
+            world.sender.fresh = lambda: fresh
+            world.submit()
+            await until(lambda: world.sender.attempts.parked)
+            await world.told(2, 50, False, world.line("leaving"))
+            fresh = True
+            world.sender.release()
+            await asyncio.sleep(GRACE)
+            assert not world.hops[0].calls and not world.sender.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("step", ["connection.start-ok", "connection.open", "channel.open", "confirm.select"])
+def test_a_drain_while_a_broker_opens_its_connection_or_channel(tmp_path: Path, step: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol="amqp") as world:
+            broker = world.broker()
+            broker.hold_at = step
+            await world.told(1, 40, True, world.line("active"))
+            world.submit()
+            await broker.held.wait()
+            await world.told(2, 50, False, world.line("leaving"))
+            broker.hold_at = ""
+            broker.go_on.set()
+            await until(lambda: not world.sender.calls)
+            await world.quiet()
+            assert not broker.calls
+
+    run(main())
--- a/tests/sharding/test_shard_map.py
+++ b/tests/sharding/test_shard_map.py
@@ -9,13 +9,23 @@
 import pytest
 
 from mountgauge.core.config import Address, MapUpdate
+from mountgauge.core.hop_table import HopTable
+from mountgauge.http1 import Message, response
+from mountgauge.relay import wire
 from mountgauge.relay.kept_list import MAX_BYTES, KeptList, KeptListError, KeptListFile
 from mountgauge.relay.settings import RelayPlace, Relays, SenderSharding, Shards
 from mountgauge.relay.shard_map import ShardMap
-from mountgauge.sharding.messages import PlacedShard, PlacementNews
-from mountgauge.sharding.shards import EndpointRecord, EndpointState, ShardSnapshot, digest_of, shard_of
+from mountgauge.sharding.messages import Answer, PlacedShard, PlacementNews
+from mountgauge.sharding.shards import (
+    NOTHING,
+    EndpointRecord,
+    EndpointState,
+    ShardSnapshot,
+    digest_of,
+    shard_of,
+)
 from rillspindle.interface import Readiness
-from tests.helper import HOST, run, until
+from tests.helper import HOST, HttpServer, run, until
 from tests.sharding.stands import Discovery, line
 from tests.sharding.test_relay_service import FAST, SHARDS, relay_file, started
 
@@ -145,3 +155,58 @@
         assert says in said and "\n" not in said
 
     run(main())
+
+
+class ScriptedRelay(HttpServer):
+    """Tells one endpoint of destination 7, in the state and as of the version that are set."""
+
+    def __init__(self) -> None:
+        super().__init__(self._reply)
+        self.as_of, self.state = 100, EndpointState.ACTIVE
+
+    async def _reply(self, message: Message) -> bytes:
+        ask = wire.decode_ask(message.body, SHARDS)
+        if all(position.version != NOTHING for position in ask.positions):
+            await asyncio.sleep(60)
+        record = EndpointRecord("e7", f"{HOST}:1", "a", "http", 7, self.state)
+        snapshot = ShardSnapshot(shard_of(7, SHARDS), self.as_of, (record,), digest_of((record,)))
+        status, body = wire.encode_reply(Answer(self.as_of, 0.0, snapshots=(snapshot,)))
+        return response(status, "OK", {}, body)
+
+
+def test_a_shard_that_comes_back_from_a_relay_that_lags_behind_brings_no_drained_endpoint_back(
+    tmp_path: Path,
+) -> None:
+    """The shard is let go with its last message, so nobody knows any more as of which version it was held."""
+
+    async def main() -> None:
+        relay = ScriptedRelay()
+        await relay.start()
+        core, table = Core(), HopTable(1)
+
+        def learn(update: MapUpdate) -> None:
+            table.learn(update, update.full, asyncio.get_running_loop().time())
+
+        setattr(core, "list_changed", learn)  # noqa: B010
+        shard_map = ShardMap(core, sharding(relay.port), "s1", tmp_path, seed=1)
+        shard_map.start()
+        states = []
+        for as_of, state in (
+            (99, EndpointState.ACTIVE),
+            (100, EndpointState.LEAVING),
+            (95, EndpointState.ACTIVE),
+            (100, EndpointState.ACTIVE),
+        ):
+            relay.as_of, relay.state = as_of, state
+            shard_map.held(7)
+            await until(lambda: "e7" in table.hops)
+            if as_of == 95:
+                shard_map.snapshot()  # the whole list, as SIGHUP asks for it
+            states.append(table.hops["e7"].entry.readiness)
+            shard_map.dropped(7)
+            await until(lambda: "e7" not in table.hops)
+        assert states == [Readiness.READY, Readiness.DRAINING, Readiness.DRAINING, Readiness.READY]
+        shard_map.close()
+        await relay.stop()
+
+    run(main())
--- a/tests/test_hop_table.py
+++ b/tests/test_hop_table.py
@@ -24,7 +24,10 @@
 
 
 class Reference:
-    """What the list's state was kept by before: each change copies and walks all of it."""
+    """What the list's state was kept by before: each change copies and walks all of it.
+
+    A drain is kept as the whole history of what was told of a place, and looked up by walking over it.
+    """
 
     def __init__(self, balancers: int) -> None:
         self.balancers = balancers
@@ -34,6 +37,9 @@
         self.waits: dict[object, float] = {}
         self.detached: set[str] = set()
         self.parts: dict[int, float] = {}
+        self.drains: list[tuple[tuple[object, ...], int, float]] = []  # place, version, when
+        self.contradicted: dict[tuple[object, ...], float] = {}  # by place: since when
+        self.withheld: dict[str, float] = {}
         self.told: list[Targets] = []
         self.closed: list[str] = []
 
@@ -42,7 +48,9 @@
         self.hops = {} if how != ListKind.DELTA else dict(before)
         if how != ListKind.DELTA:
             self.listed_hops = {}
+            self.withheld = {}
         for hop in update.hops:
+            self.withhold(hop, update, now)
             if hop.entry.readiness == Readiness.GONE:
                 self.listed_hops.pop(hop.id, None)
             else:
@@ -51,6 +59,7 @@
             old = before.get(hop.id)
             if old is not None and (*old[:3], old.entry.owner) != (*hop[:3], hop.entry.owner):
                 entries.append(old.entry._replace(readiness=Readiness.GONE))
+                self.drained(place(old), update.version, now)
             entries.append(hop.entry)
             if hop.entry.readiness == Readiness.GONE:
                 self.hops.pop(hop.id, None)
@@ -59,6 +68,8 @@
         for hop_id, old in before.items():
             if (new := self.hops.get(hop_id)) is None or new[:3] != old[:3]:
                 self.closed.append(hop_id)
+            if new is None:
+                self.drained(place(old), update.version, now)
         self.waits = {limit: until for limit, until in self.waits.items() if until > now}
         for hop in self.hops.values():
             self.listed[hop.entry.owner] = math.inf
@@ -68,6 +79,41 @@
                 del self.listed[dest]
         self.told.append(Targets(how, update.version, tuple(entries)))
 
+    def drained(self, where: tuple[object, ...], version: int, now: float) -> None:
+        self.drains.append((where, version, now))
+        self.contradicted.pop(where, None)
+
+    def withhold(self, hop: NextHop, update: MapUpdate, now: float) -> None:
+        where = place(hop)
+        self.withheld.pop(hop.id, None)
+        if hop.entry.readiness != Readiness.READY:
+            if hop.host:
+                self.drained(where, update.version, now)
+            return
+        others = [one for one in update.hops if one.id == hop.id and one.entry.readiness != Readiness.READY]
+        if any(place(one) == where or not one.host for one in others):
+            self.drained(where, update.version, now)
+            self.contradicted[where] = now
+        told = [(version, at) for one, version, at in self.drains if one == where]
+        recent = bool(told) and now < max(at for _, at in told) + 600.0
+        older = recent and update.version < max(version for version, _ in told)
+        if older or (where in self.contradicted and others):
+            until = self.contradicted.setdefault(where, now) + 20.0
+            if now < until:
+                self.withheld[hop.id] = until
+                return
+        self.drains = [one for one in self.drains if one[0] != where]
+        self.contradicted.pop(where, None)
+
+    def review(self, now: float, version: int) -> None:
+        entries = []
+        for hop_id in [hop_id for hop_id, until in self.withheld.items() if until <= now]:
+            del self.withheld[hop_id]
+            hop = self.hops[hop_id] = self.maintained(self.listed_hops[hop_id])
+            entries.append(hop.entry)
+        if entries:
+            self.told.append(Targets(ListKind.DELTA, version, tuple(entries)))
+
     def maintain(self, detached: set[str], version: int) -> None:
         changed, self.detached = detached ^ self.detached, set(detached)
         entries = []
@@ -92,13 +138,18 @@
             self.told.append(Targets(ListKind.DELTA, version, tuple(entries)))
 
     def maintained(self, hop: NextHop) -> NextHop:
-        if hop.id in self.detached and hop.entry.readiness == Readiness.READY:
+        out = hop.id in self.detached or hop.id in self.withheld
+        if out and hop.entry.readiness == Readiness.READY:
             hop = hop._replace(entry=hop.entry._replace(readiness=Readiness.DRAINING))
         if (part := self.parts.get(hop.entry.owner)) is not None:
             hop = hop._replace(entry=hop.entry._replace(scale=part * self.balancers))
         return hop
 
 
+def place(hop: NextHop) -> tuple[object, ...]:
+    return (*hop[:3], hop.entry.owner)
+
+
 def drawn(rng: Random, most: int) -> tuple[NextHop, ...]:
     """A few of 24 ids on 9 destinations: some twice, some moved, some that could not be read."""
     found = []
@@ -123,8 +174,13 @@
     first = MapUpdate(0, True, drawn(rng, 20))
     sender.start(first)
     plain.learn(first, ListKind.CACHED, bench.time)
-    for version in range(1, 120):
-        bench.time += rng.choice([0.0, 0.5, 20.0, 400.0])
+    withheld = 0
+    for newest in range(1, 120):
+        bench.time += rng.choice([0.0, 0.5, 0.5, 5.0, 20.0, 400.0])
+        if sender._review_at <= bench.time:
+            sender._review(sender._review_at)
+        plain.review(bench.time, sender.version)
+        version = max(0, newest - rng.choice([0, 0, 0, 1, 10]))  # some lists are older than what is known
         match rng.choice(["delta"] * 6 + ["whole", "maintain", "divide", "wait", "wait"]):
             case "delta":
                 update = MapUpdate(version, False, drawn(rng, 4))
@@ -151,7 +207,9 @@
         assert list(sender.listed_hops.items()) == list(plain.listed_hops.items())
         assert (sender.listed, sender.waits) == (plain.listed, plain.waits)
         assert (sender.detached, sender.parts) == (plain.detached, plain.parts)
-    assert len(plain.closed) > 20 and len(plain.told) > 40
+        assert sender.table.withheld == plain.withheld
+        withheld += len(plain.withheld)
+    assert len(plain.closed) > 20 and len(plain.told) > 40 and withheld >= 5
 
 
 def one_of(count: int, readiness: Readiness = Readiness.READY, port: int = 1, owner: int = 2) -> NextHop:
