Write no publish behind unread bytes, and none to a broker's old address

Cause, two places of amqp/next_hops.py. AmqpNextHops.start queued a call by its endpoint's id alone while a connection was being made: one for the endpoint's new address waited for the connection to the old one and was published there, as `admit` looks at the call's place and not at the connection's. And BrokerLink._publish asked `admit` and wrote whatever the broker had not read yet: all calls of an endpoint share one connection, so the first byte waited in the transport's buffer and left after the drain, when the broker went on reading.

Change: connections that are being made, and the calls that wait for them, are kept by id, address and account (_Target); of two that come up the later one stays. A publish waits on its channel until the socket takes its first byte, and only then is `admit` asked; given up meanwhile, it gives the channel back.

Both pass now, with the other crossings of test_drains: dials that come up late, standing connections, parked calls, and each step of a broker's opening, which were right before.

--- a/mountgauge/amqp/next_hops.py
+++ b/mountgauge/amqp/next_hops.py
@@ -3,14 +3,20 @@
 One connection for each next hop, one channel for each call that is out on it. Outcomes: ack = OK, nack or
 a returned message = ERROR, a blocked connection = FULL, no connection = CONNECT_FAILED, a connection that
 breaks after the publish = RESET, no confirm in time = TIMEOUT, and the channel is closed.
+
+A call is looked at for the last time where its first byte goes straight to the socket: never behind bytes
+that the broker has not taken yet, and never on a connection to another address than the call's.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
+import select
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from mountgauge.amqp import codec
 from mountgauge.amqp.clients import KEY_HEADER
@@ -20,6 +26,7 @@
 from rillspindle.interface import Outcome
 
 _MOST_CHANNELS = 256
+_LOOK_AGAIN = 0.01  # s from one look at a socket that takes nothing more to the next
 _CLOSE_LIMIT = 2.0  # s for the answer to a channel's close; past it the broker is not worth its connection
 
 
@@ -34,12 +41,22 @@
     routing_key: str = ""
 
 
+class _Target(NamedTuple):
+    """What one connection leads to."""
+
+    hop_id: str
+    host: str
+    port: int
+    account: Account
+
+
 @dataclass(slots=True, eq=False)
 class _Out:
     """A call that is out: waiting for its channel, or for its confirms."""
 
     call: Call
     timer: asyncio.TimerHandle
+    target: _Target
     link: BrokerLink | None = None
     going: list[Item] = field(default_factory=list)
     tags: dict[int, Item] = field(default_factory=dict)
@@ -63,18 +80,20 @@
 
     def __init__(
         self,
-        account: Account,
+        target: _Target,
+        order: int,
         on_ready: Callable[[], None],
         lost: Callable[[], None],
         settle: Callable[[_Out], None],
         admit: Callable[[Call, list[Item]], list[Item]],
     ) -> None:
+        """`order` rises from one connection to the next."""
         super().__init__(State.START)
-        self.place: tuple[str, int] | None = None
-        self.account, self.blocked = account, False
+        self.target, self.order, self.blocked = target, order, False
         self.channels: dict[int, _Channel] = {}
         self.most_channels = _MOST_CHANNELS
         self.carried = 0  # calls carried so far
+        self._waiting: list[_Channel] = []  # whose calls go once the socket takes bytes again
         self._on_ready, self._lost, self._settle, self._admit = on_ready, lost, settle, admit
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -122,7 +141,7 @@
             self._channel_method(channel, method)
 
     def _opening(self, name: str, method: Method) -> None:
-        account, args = self.account, method.args
+        account, args = self.target.account, method.args
         if (self.state, name) == (State.START, "connection.start"):
             self.state = State.TUNE
             capabilities = {"publisher_confirms": True, "basic.nack": True, "connection.blocked": True}
@@ -218,11 +237,40 @@
         self.send_method(number, "channel.open")
         return True
 
+    @property
+    def _takes_bytes(self) -> bool:
+        """Whether the first byte of what is written now leaves now."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if not self.flushed or sock is None:
+            return self.flushed
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLOUT)
+        return bool(poll.poll(0))
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._publish_waiting()
+
+    def _publish_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for channel in waiting:
+            if channel.out is not None and self.channels.get(channel.number) is channel:
+                self._publish(channel, channel.out)
+
+    def _wait_to_publish(self, channel: _Channel) -> None:
+        """The call keeps its channel, and gives it back where it is given up meanwhile."""
+        if not self._waiting and self.flushed:  # no `resume_writing` will tell
+            asyncio.get_running_loop().call_later(_LOOK_AGAIN, self._publish_waiting)
+        self._waiting.append(channel)
+
     def _publish(self, channel: _Channel, out: _Out) -> None:
         if self.blocked or not channel.flows:
             channel.out = None
             self._fill(out, Result(Outcome.FULL))
             return
+        if not self._takes_bytes:
+            self._wait_to_publish(channel)
+            return
         out.going = self._admit(out.call, out.call.items)
         if not out.going:
             channel.out = None
@@ -241,11 +289,11 @@
                 "expiration": str(max(1, math.floor((min(item.expires, out.call.give_up_at) - now) * 1000))),
                 "headers": {KEY_HEADER: item.key} if item.key else None,
             }
-            routing_key = self.account.routing_key or str(out.call.hop.entry.owner)
+            routing_key = self.target.account.routing_key or str(out.call.hop.entry.owner)
             data += codec.method(
                 channel.number,
                 "basic.publish",
-                exchange=self.account.exchange,
+                exchange=self.target.account.exchange,
                 routing_key=routing_key,
                 mandatory=True,
             )
@@ -266,6 +314,10 @@
     def give_up(self, out: _Out) -> None:
         """Close the channel: a confirm that comes late must not be taken for the next call's."""
         for channel in self.channels.values():
+            if channel.out is out and channel in self._waiting:  # nothing of it was written
+                self._waiting.remove(channel)
+                channel.out = None
+                return
             if channel.out is out:
                 channel.out, channel.state = None, "closing"
                 self.drop_content(channel.number)
@@ -289,8 +341,9 @@
         self._most = most  # connections at once
         self.accounts = accounts
         self._links: dict[str, BrokerLink] = {}
-        self._opening: dict[str, asyncio.Task[None]] = {}
-        self._queued: dict[str, list[_Out]] = {}
+        self._opening: dict[_Target, asyncio.Task[None]] = {}
+        self._queued: dict[_Target, list[_Out]] = {}
+        self._orders = itertools.count()
         self._out: dict[Call, _Out] = {}
         self.opened = 0
 
@@ -300,32 +353,39 @@
 
     def start(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
-        out = _Out(call, loop.call_at(call.give_up_at, self._give_up, call))
+        target = self._target(call.hop)
+        out = _Out(call, loop.call_at(call.give_up_at, self._give_up, call), target)
         self._out[call] = out
-        link = self._current(call.hop)
+        link = self._current(target)
         if link is not None and link.state is State.READY:
             if not link.carry(out):
                 loop.call_soon(self._finish, out)  # not sent
             return
-        if call.hop.id not in self._opening and not self._make_room():
+        if target not in self._opening and not self._make_room():
             loop.call_soon(self._finish, out)  # not sent
             return
-        self._queued.setdefault(call.hop.id, []).append(out)
-        if call.hop.id not in self._opening:
+        self._queued.setdefault(target, []).append(out)
+        if target not in self._opening:
             self.opened += 1
-            self._opening[call.hop.id] = loop.create_task(self._connect(call))
+            self._opening[target] = loop.create_task(self._connect(target))
 
-    def _current(self, hop: NextHop) -> BrokerLink | None:
+    def _target(self, hop: NextHop) -> _Target:
+        return _Target(hop.id, hop.host, hop.port, self.accounts.get(hop.id, Account()))
+
+    def _current(self, target: _Target) -> BrokerLink | None:
         """The next hop's connection; one to an earlier address or account takes no further calls."""
-        link = self._links.get(hop.id)
-        if link is None or (link.place, link.account) == ((hop.host, hop.port), self._account(hop.id)):
+        link = self._links.get(target.hop_id)
+        if link is None or link.target == target:
             return link
-        del self._links[hop.id]
+        del self._links[target.hop_id]
+        self._retire(link)
+        return None
+
+    def _retire(self, link: BrokerLink) -> None:
         if link.busy:
             asyncio.get_running_loop().call_later(self._idle, link.abort)
         else:
             link.close_with(AmqpError(200, "moved"))
-        return None
 
     def _make_room(self) -> bool:
         """Descriptors are bounded: a connection without a call goes before a call stays behind."""
@@ -336,17 +396,14 @@
             self.close_idle(idle)
         return idle is not None
 
-    def _account(self, hop_id: str) -> Account:
-        return self.accounts.get(hop_id, Account())
-
-    async def _connect(self, call: Call) -> None:
-        hop = call.hop
+    async def _connect(self, target: _Target) -> None:
+        hop_id = target.hop_id
         loop = asyncio.get_running_loop()
         ready: asyncio.Future[None] = loop.create_future()
 
         def lost() -> None:
-            if self._links.get(hop.id) is link:
-                del self._links[hop.id]
+            if self._links.get(hop_id) is link:
+                del self._links[hop_id]
             if not ready.done():
                 ready.set_exception(ConnectionResetError("closed while opening"))
 
@@ -354,26 +411,32 @@
             if not ready.done():
                 ready.set_result(None)
 
-        link = BrokerLink(self._account(hop.id), on_ready, lost, self._finish, self._owner.admit)
+        order = next(self._orders)
+        link = BrokerLink(target, order, on_ready, lost, self._finish, self._owner.admit)
         try:
             async with asyncio.timeout(self._connect_timeout):
-                await loop.create_connection(lambda: link, hop.host, hop.port)
+                await loop.create_connection(lambda: link, target.host, target.port)
                 await ready
         except (OSError, TimeoutError):
             link.abort()
-            self._opening.pop(hop.id, None)
-            for out in self._queued.pop(hop.id, []):
+            self._opening.pop(target, None)
+            for out in self._queued.pop(target, []):
                 failed = Result(Outcome.CONNECT_FAILED)
                 out.results = {item.number: failed for item in out.call.items}
                 self._finish(out)
             return
-        link.place = (hop.host, hop.port)
-        self._links[hop.id] = link
-        self._opening.pop(hop.id, None)
-        self._watch_idle(hop.id, link)
-        for out in self._queued.pop(hop.id, []):
+        self._opening.pop(target, None)
+        for out in self._queued.pop(target, []):
             if out.call in self._out and not link.carry(out):
                 self._finish(out)
+        other = self._links.get(hop_id)  # opened meanwhile, to another address or for another account
+        if other is not None and other.order > link.order:
+            self._retire(link)
+            return
+        self._links[hop_id] = link
+        self._watch_idle(hop_id, link)
+        if other is not None:
+            self._retire(other)
 
     def _watch_idle(self, hop_id: str, link: BrokerLink) -> None:
         """An unused connection costs the partner a place: it goes after a while without calls."""
@@ -401,7 +464,7 @@
             out.results.setdefault(item.number, result)
         if out.link is not None:
             out.link.give_up(out)
-        queued = self._queued.get(call.hop.id, [])
+        queued = self._queued.get(out.target, [])
         if out in queued:
             queued.remove(out)
         self._finish(out)
--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -353,3 +353,56 @@
             assert not broker.calls
 
     run(main())
+
+
+def test_a_broker_that_moves_while_its_connection_opens_gets_nothing_at_the_old_address(
+    tmp_path: Path,
+) -> None:
+    """Calls for the new address waited for the connection that was being made to the old one."""
+
+    async def main() -> None:
+        async with World(tmp_path, 2, "amqp") as world:
+            old, new = world.broker(0), world.broker(1)
+            old.hold_at = "connection.open"
+            await world.told(1, 40, True, world.line("active"))
+            world.submit()
+            await old.held.wait()
+            await world.told(2, 50, False, {**world.line("active", 1), "id": "e0"})
+            world.submit()
+            await until(lambda: world.sender.calls == 2 or new.calls)
+            old.go_on.set()
+            await until(lambda: len(old.calls) + len(new.calls) >= 2)
+            assert not old.calls and len(new.calls) == 2
+            await world.sent(1)
+            assert not old.calls
+
+    run(main())
+
+
+def test_a_publish_does_not_wait_behind_bytes_that_a_broker_does_not_read(tmp_path: Path) -> None:
+    """It was written behind what the broker had not taken yet: its first byte left when the broker went on
+    reading, long after the drain.
+    """
+
+    async def main() -> None:
+        async with World(tmp_path, protocol="amqp") as world:
+            broker = world.broker()
+            await world.told(1, 40, True, world.line("active"))
+            for _ in range(MOST_CALLS):  # at once: so many channels stand from now on
+                world.submit()
+            await until(lambda: len(broker.calls) == MOST_CALLS and not world.sender.calls)
+            broker.hold_at = "basic.publish"
+            # More than the system keeps for a connection that nobody reads.
+            sent = [world.submit(b"x" * 900_000) for _ in range(MOST_CALLS - 1)]
+            await until(lambda: world.sender.calls == len(sent))
+            late = world.submit()
+            await until(lambda: world.sender.calls == len(sent) + 1)
+            await world.told(2, 50, False, world.line("leaving"))
+            assert len(broker.calls) == MOST_CALLS
+            broker.hold_at = ""
+            broker.go_on.set()
+            await until(lambda: not world.sender.calls)
+            assert late not in [call[1] for call in broker.calls]
+            assert sent[0] in [call[1] for call in broker.calls], "what had begun goes on"
+
+    run(main())
