Heed what operators take out while a process begins and ends, and every change of their file

The console's subsystem reads `detached` before the core starts. FileMap reads its file once more when it begins to watch. A failed look is logged, and the next one comes.

--- a/mountgauge/file_map.py
+++ b/mountgauge/file_map.py
@@ -22,7 +22,7 @@
     def __init__(self, owner: MapOwner, operator: Operator, learn: Callable[[Hops], None]) -> None:
         self._owner, self._path, self._learn = owner, operator.path, learn
         self._last = operator.hops
-        self._stamp = self._look()
+        self._stamp = (0, 0, 0)  # of no file: what was loaded may be an older one
         self._version = operator.config.known.version
         self._timer: asyncio.TimerHandle | None = None
 
@@ -52,8 +52,8 @@
         return True
 
     def _again(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(_LOOK, self._again)  # whatever this look brings
         self._check()
-        self._timer = asyncio.get_running_loop().call_later(_LOOK, self._again)
 
     def _check(self) -> None:
         stamp = self._look()
--- a/mountgauge/run/console.py
+++ b/mountgauge/run/console.py
@@ -32,6 +32,10 @@
         self.service = Service(sender, front, registry, config.state, taking)
         self.console = Console(self.service.carry_out)
 
+    async def start(self) -> None:
+        """What operators took out is out before the core sends the first message of an earlier process."""
+        self.service.look()
+
     async def serve(self) -> None:
         await self.console.listen(self.address)
 
--- a/mountgauge/run/serve.py
+++ b/mountgauge/run/serve.py
@@ -34,10 +34,24 @@
         log.info("state", extra=kv(held=now.held, slots_used=now.slots_used, **new))
 
 
-async def _looking(runtime: Runtime) -> None:
+async def _looking(look: Callable[[], None]) -> None:
+    """Look again and again; one look that fails is not the last."""
     while True:
         await asyncio.sleep(LOOK_EVERY)
-        runtime.look()
+        try:
+            look()
+        except Exception:
+            log.exception("look-failed")
+
+
+def _heed(runtime: Runtime) -> None:
+    """What another process of this sender tells while this one ends: waits, and endpoints taken out. Journals
+    are left to the others by now.
+    """
+    if runtime.journal.others:
+        runtime.handover.hear()
+    if runtime.service is not None:
+        runtime.service.look()
 
 
 async def serve(make: Callable[[], Runtime]) -> None:
@@ -64,11 +78,14 @@
     log.info("ready", extra=ready)
     runtime.warn()
     stating = loop.create_task(_state_lines(runtime))
-    looking = loop.create_task(_looking(runtime)) if runtime.polls else None
+    looking = loop.create_task(_looking(runtime.look)) if runtime.polls else None
     await asked.wait()
     stating.cancel()
     if looking is not None:
         looking.cancel()
+        looking = loop.create_task(_looking(lambda: _heed(runtime)))
     log.info("stopping", extra=kv(held=len(runtime.sender.held), out=runtime.next_hops.out))
     await runtime.stop()
+    if looking is not None:
+        looking.cancel()
     log.info("stopped", extra=kv(left=len(runtime.journal.live), opened=runtime.next_hops.opened))
--- a/mountgauge/settings_table.py
+++ b/mountgauge/settings_table.py
@@ -60,5 +60,5 @@
         return tomllib.loads(path.read_text())
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:  # not TOML or UTF-8; numbers or nesting without end
         raise ConfigError(f"{path}: {error}") from None
--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 import itertools
+import os
+import signal
 import socket
 from pathlib import Path
 from typing import Any
@@ -25,12 +27,18 @@
 from mountgauge.core.sender import Sender
 from mountgauge.http1 import response
 from mountgauge.next_hops import HttpNextHops
+from mountgauge.operator_file import Operator, load
+from mountgauge.run import serve
 from mountgauge.run.base import LoopClock
 from mountgauge.transport_map import TransportMap
 from rillspindle import Policy
+from tests import helper
 from tests.crossings.test_watches import Discovery
 from tests.helper import HOST, Broker, HttpHop, run, until
 from tests.settings import grade, settings
+from tests.test_console import call as console_call
+from tests.test_console import free_port
+from tests.test_process import Platform
 
 NAMES = Names(("safe",), ("near", "far"), ("one", "many"))
 GRACE = 0.25 + 0.05  # s after which nothing may leave; what is told here is told long before
@@ -204,9 +212,11 @@
         async with World(tmp_path) as world:
             await world.told(1, 40, True, world.line("active"))
             await world.told(2, 50, False, world.line("leaving"))
+            began = asyncio.get_running_loop().time()
             await world.told(3, 1, True, world.line("active"))
-            await world.quiet()
-            await until(lambda: world.hops[0].delivered, 2.0)
+            world.submit()
+            await until(lambda: world.hops[0].delivered)
+            assert world.hops[0].calls[0][0] >= began + drain_memory.WITHHELD_FOR_S
             await world.told(4, 2, False, world.line("leaving"))  # the new count's drains hold at once
             await world.quiet()
 
@@ -406,3 +416,116 @@
             assert sent[0] in [call[1] for call in broker.calls], "what had begun goes on"
 
     run(main())
+
+
+def take_out(folder: Path, *ids: str) -> None:
+    """As another process of the sender writes down what operators took out."""
+    (folder / "detached.new").write_bytes(orjson.dumps(ids))
+    os.replace(folder / "detached.new", folder / "detached")
+
+
+def test_an_endpoint_that_another_process_takes_out_is_out_for_one_that_is_ending(tmp_path: Path) -> None:
+    """SIGTERM ended its looks at the file, while its clients were served for 2.2 s more."""
+
+    async def main() -> None:
+        platform, console = Platform(tmp_path), free_port()
+        process = await platform.start(GW_CONSOLE=f"{HOST}:{console}")
+        await until(platform.pings)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(2.0):
+            while (await console_call(console, "GET", "/_ready"))[0] == 200:
+                await asyncio.sleep(0.005)
+        take_out(tmp_path / "state", "e")
+        await asyncio.sleep(GRACE)
+        assert await platform.send(("a", "safe")) == [b"+OK\r\n"]
+        assert await process.wait() == 0
+        assert not platform.hooks
+        await platform.stop()
+
+    run(main())
+
+
+def test_what_operators_took_out_is_out_before_a_process_sends_what_the_last_one_left(tmp_path: Path) -> None:
+    """Beside another process it waits for that one's waits first, and sent meanwhile."""
+
+    async def main() -> None:
+        extra = f'[console]\nlisten = "{HOST}:{free_port()}"\n'
+        async with helper.World(tmp_path, "http", extra=extra) as world:
+            hop = world.hops[0]
+            hop.script = ["silent"]
+            assert await world.client.take("a") is None
+            await until(lambda: len(hop.calls) == 1)
+            beside = Journal(tmp_path / "state", 1_000_000)  # its slot comes after this process's
+            await world.client.close()
+            await world.kill()
+            take_out(tmp_path / "state", "h0")
+            hop.script = ["ok"]
+            await world.start()
+            assert world.runtime.journal.others
+            await asyncio.sleep(GRACE)
+            assert len(hop.calls) == 1
+            beside.close()
+
+    run(main())
+
+
+def test_an_operators_file_that_changes_before_it_is_watched_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The file's stamp was taken after it was read: the change in between was never seen."""
+
+    async def main() -> None:
+        world = helper.World(tmp_path, "http")
+
+        def loaded(path: Path) -> Operator:
+            found = load(path)
+            world.states = ["leaving"]
+            world.write()
+            return found
+
+        monkeypatch.setattr(helper, "load", loaded)
+        async with world:
+            await asyncio.sleep(GRACE)
+            assert await world.client.take("a") is None
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "content", [b"\xff", b"[[next_hop]]\nid = ", b"next_hop = 7", b"a=" + b"[" * 5000, b"a=" + b"1" * 5000]
+)
+def test_an_operators_file_that_cannot_be_read_is_looked_at_again(
+    tmp_path: Path, content: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def main() -> None:
+        async with helper.World(tmp_path, "http") as world:
+            world.file.write_bytes(content)
+            await until(lambda: "file-not-read" in [record.message for record in caplog.records])
+            world.states = ["leaving"]
+            world.write()
+            await asyncio.sleep(GRACE)
+            assert await world.client.take("a") is None
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
+def test_a_look_that_fails_is_not_the_last_one(caplog: pytest.LogCaptureFixture) -> None:
+    async def main() -> None:
+        looks = itertools.count(1)
+        found = list[int]()
+
+        def look() -> None:
+            found.append(next(looks))
+            if len(found) == 1:
+                raise OSError("the folder cannot be read")
+
+        task = asyncio.get_running_loop().create_task(serve._looking(look))
+        await until(lambda: len(found) == 3)
+        task.cancel()
+        assert [record.message for record in caplog.records] == ["look-failed"]
+
+    run(main())
