Send nothing by a list that was seen before the look after a pause

Cause: RecoverySubsystem.fresh (run/recovery.py) finds a pause of the process, looks at once, and said that the call may go where the look was done in the same step, as it is for an operator's file and for `detached`. Attempts.admit had read the endpoint's state before it asked (the `or` chain, `fresh` last): a call whose connection came up behind the pause went to an endpoint that had drained during it.

Change: the ask that finds the pause always says no.

Measured, before, for a drain in the file and for an endpoint taken out: assert not [(1366.19, 'a', 'k1', b'hello')].

--- a/mountgauge/run/recovery.py
+++ b/mountgauge/run/recovery.py
@@ -102,12 +102,13 @@
     # Before each first byte
 
     def fresh(self) -> bool:
-        """The core asks in the last step before a call's first byte."""
+        """The core asks in the last step before a call's first byte. Not where a pause is found just now,
+        even if all is looked at here: what the core has seen of the call's endpoint is from before the look.
+        """
         may, gap = self.pulse.ask(self.runtime.sender.clock.now())
         if gap:
             self._paused(gap)
-            may = self.pulse.looking is None
-        return may
+        return may and not gap
 
     def _paused(self, gap: float) -> None:
         """List, drains that operators ordered, and the right to the folder are looked at anew."""
--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -12,6 +12,7 @@
 import os
 import signal
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +24,7 @@
 from mountgauge.core import drain_memory
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.core.journal import Journal
-from mountgauge.core.ports import Answer, Call, End, Submission
+from mountgauge.core.ports import Answer, Call, End, Item, Submission
 from mountgauge.core.sender import Sender
 from mountgauge.http1 import response
 from mountgauge.next_hops import HttpNextHops
@@ -565,6 +566,37 @@
     run(main())
 
 
+@pytest.mark.parametrize("where", ["file", "detached"])
+def test_a_process_that_is_paused_just_before_the_last_look_sends_nothing_to_what_drained_meanwhile(
+    tmp_path: Path, where: str
+) -> None:
+    """The look after a pause is made within the last look, which had seen the endpoint as active before."""
+
+    async def main() -> None:
+        extra = f'[console]\nlisten = "{HOST}:{free_port()}"\n'
+        async with helper.World(tmp_path, "http", extra=extra) as world:
+            admit, paused = world.runtime.sender.admit, list[str]()
+
+            def late(call: Call, items: list[Item]) -> list[Item]:
+                if not paused:
+                    paused.append(call.hop.id)
+                    if where == "file":
+                        world.states = ["leaving"]
+                        world.write()
+                    else:
+                        take_out(tmp_path / "state", "h0")
+                    time.sleep(0.6)  # as SIGSTOP and SIGCONT would: no other step of the loop comes between
+                return admit(call, items)
+
+            setattr(world.runtime.sender, "admit", late)  # noqa: B010
+            assert await world.client.take("a") is None
+            await until(lambda: paused)
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
 def test_a_look_that_fails_is_not_the_last_one(caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
         looks = itertools.count(1)
