Force a drain between a batch's last message and its first byte

Three messages join one call in a turn, and the step that starts it hears the drain: nothing is sent. It was right before (Attempts.admit looks at the call's endpoint, whoever joined).

--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -26,7 +26,7 @@
 from mountgauge.core.journal import Journal
 from mountgauge.core.ports import Answer, Call, End, Item, Submission
 from mountgauge.core.sender import Sender
-from mountgauge.http1 import response
+from mountgauge.http1 import Message, response
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.operator_file import Operator, load
 from mountgauge.run import serve
@@ -351,6 +351,36 @@
     run(main())
 
 
+def test_a_batch_that_messages_joined_before_the_drain_is_not_sent(tmp_path: Path) -> None:
+    """They join in one turn, for an endpoint that the module chose before it heard of the drain."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            read, sizes = list[Message](), list[int]()
+
+            async def reply(message: Message) -> bytes | None:
+                read.append(message)
+                return None
+
+            setattr(world.hops[0], "reply", reply)  # noqa: B010
+            await world.told(1, 40, True, world.line("active", kind="many"))
+            drained_at_the_start(world, before=False)
+            start = world.next_hops.start
+
+            def started(call: Call) -> None:
+                sizes.append(len(call.items))
+                start(call)
+
+            setattr(world.next_hops, "start", started)  # noqa: B010
+            for _ in range(3):
+                world.submit()
+            await until(lambda: world.hops[0].connections == 1)
+            await asyncio.sleep(GRACE)
+            assert sizes == [3] and not read
+
+    run(main())
+
+
 def test_a_parked_call_looks_again_when_it_is_released(tmp_path: Path) -> None:
     async def main() -> None:
         async with World(tmp_path) as world:
