Ask for the whole list after an incomplete change, and for news before the last look

Cause: MapUpdate.incomplete was not read by the watch, so a change whose endpoint can't be told was passed over while the version moved on. Attempts.admit read the next hop's state first and asked `fresh` last, which may itself bring word of a drain (the root of the pause's mistake that recovery mends on its side).

Change: TransportMap tells the watch of incomplete changes (whole list at once); `admit` asks first.

--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -121,6 +121,8 @@
 
     def admit(self, call: Call, items: list[Item]) -> list[Item]:
         """Just before the first byte: which of these may go; their attempts are journalled."""
+        if self.fresh is not None and not self.fresh():  # first: asking may bring news of the next hop
+            return []
         now = self._clock.now()
         hop = self._table.hops.get(call.hop.id)
         if (
@@ -130,7 +132,6 @@
             or (hop.host, hop.port, hop.entry.owner) != (call.hop.host, call.hop.port, call.hop.entry.owner)
             or self._waits.get(self._limit(call.hop), 0.0) > now
             or call.give_up_at <= now
-            or (self.fresh is not None and not self.fresh())
         ):
             return []
         going = []
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -185,7 +185,7 @@
             failure = Failure.SPOILT if message.status == 200 else Failure.REFUSED
             self._fail(exchange.call, failure, str(error))
             return
-        if self._watch.answered(exchange.call, update.version, self._now()):
+        if self._watch.answered(exchange.call, update.version, self._now(), update.incomplete):
             self._take_in(update)
         self._step()
 
--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -29,9 +29,9 @@
 from mountgauge.http1 import Message, response
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.operator_file import Operator, load
+from mountgauge.platform.discovery import TransportMap
 from mountgauge.run import serve
 from mountgauge.run.base import LoopClock
-from mountgauge.transport_map import TransportMap
 from rillspindle import Policy
 from tests import helper
 from tests.crossings.test_watches import Discovery
@@ -39,6 +39,7 @@
 from tests.settings import grade, settings
 from tests.test_console import call as console_call
 from tests.test_console import free_port
+from tests.test_peers import bounds
 from tests.test_process import Platform
 
 NAMES = Names(("safe",), ("near", "far"), ("one", "many"))
@@ -102,7 +103,7 @@
         env = settings(grades=[grade(aim=8.0)], discovery="subscribe", extra=extra)
         self.journal = Journal(self.folder, 100_000_000)
         sender = Sender(Policy(env, 1), NAMES, self.journal, LoopClock(), {"platform": self})
-        self.map = TransportMap(sender, Address(HOST, self.discovery.port), NAMES, 30.0)
+        self.map = TransportMap(sender, Address(HOST, self.discovery.port), NAMES, bounds(30.0))
         if self.protocol == "http":
             self.next_hops = HttpNextHops(sender, 4.0, 5.0, 16)
         else:
--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -206,6 +206,24 @@
     run(main())
 
 
+def test_a_change_whose_next_hop_cannot_be_told_is_followed_by_the_whole_list() -> None:
+    """What it took out of use is not known: nothing may go on to be sent there."""
+
+    async def main() -> None:
+        async with World() as world:
+            world.map.watch(True)
+            writer = await world.discovery.called(1)
+            body = {"version": 6, "full": False, "servers": [{"state": "left"}]}
+            writer.write(response(200, "OK", {}, orjson.dumps(body)))
+            writer = await world.discovery.called(2)
+            assert world.discovery.paths[1] == "/registry/instances"
+            writer.write(listing(6, True))
+            await world.discovery.called(3)
+            assert [update.version for update in world.owner.updates] == [6]
+
+    run(main())
+
+
 def test_an_answer_that_comes_late_is_heard_though_others_have_been_asked() -> None:
     """A discovery that needs longer than a call waits alone would never be heard if each were cut off."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import orjson
+import pytest
 
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.core.ports import End, Status
