Rest no longer than the grace allows where lists are pushed

Cause: after a watch that was answered at once with nothing newer, WatchBounds.rest_s leaves discovery alone for 0.3 s and up to 2 s, so that changes in the rest do not belong to the watch.

Change: with pushed lists every rest is PUSHED_REST_S, 0.1 s; an agent on the same machine can bear that.

--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -50,6 +50,9 @@
 # would belong to the watch, and what changes in it would be notified before it can be read.
 FIRST_REST_S = 0.3
 MOST_REST_S = 2.0
+# Where lists are pushed, what the agent has counts as notified at once, also during a rest: with a hold-up of
+# 0.15 s and the answer it must be within the grace of a drain.
+PUSHED_REST_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +83,11 @@
             call_life_s=known_within / 2,
             back_off_most_s=known_within / 6,
             spread_s=min(others, known_within / 2),
-            rest_most_s=max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2)),
+            rest_most_s=(
+                max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2))
+                if rules.subscribe
+                else PUSHED_REST_S
+            ),
         )
 
     def limit_s(self, calls: int) -> float:
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -243,6 +243,17 @@
     assert FIRST_REST_S > WATCH_GAP_S
 
 
+def test_an_agent_is_asked_again_within_the_grace_of_a_drain() -> None:
+    """What it has counts as notified at once, also while the sender rests after an answer at once."""
+    driven = Driven(discovery="automatic")
+    call = driven.watching()
+    grace_s, hold_up_s, answer_s = 0.3, 0.15, 0.02
+    for _ in range(6):
+        driven.answer(call, 4)
+        before, call = driven.now, driven.call()
+        assert 0 < call.made_at - before <= grace_s - hold_up_s - answer_s
+
+
 def test_lower_settings_end_a_longer_wait() -> None:
     driven = Driven()
     watch = driven.watching()
