Show that nine mutants of the watch and the last look break rule `drain`

Need: a property that no fault turns red says nothing.

Change: tests/platform/mutants.py has nine faults, each a subclass of one part: back-off and spread doubled, a long poll after a silence, a dropped answer, calls closed for the next one, no recheck in `admit`, a rest within the watch, a rest of 0.3 s where lists are pushed, a back-off after a spoilt answer, and a move that waits for the watch. test_mutants.py has a schedule for each, on which the mutant is late and the program not.

--- /dev/null
+++ b/tests/platform/mutants.py
@@ -0,0 +1,99 @@
+"""Senders with one fault each, which the property must find."""
+
+from __future__ import annotations
+
+from mountgauge.core.attempts import Attempts
+from mountgauge.core.config import MapUpdate
+from mountgauge.core.hop_table import Change, HopTable
+from mountgauge.core.ports import Call, Item
+from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.watch_bounds import WatchBounds
+from tests.platform.simulation import Parts
+
+
+class DoubledBackOff(WatchBounds):
+    """The back-off and its spread are twice as long."""
+
+    def back_off_s(self, failures: int, draw: float) -> float:
+        return 2 * super().back_off_s(failures, draw)
+
+
+class RestWithinWatch(WatchBounds):
+    """The rest after a watch that was answered at once is short enough to belong to the watch."""
+
+    def rest_s(self, repeats: int) -> float:
+        return 0.19
+
+
+class LongRestWithAgent(WatchBounds):
+    """An agent is asked as seldom after such a watch as discovery is."""
+
+    def rest_s(self, repeats: int) -> float:
+        return 0.3
+
+
+class LongPollAfterSilence(DiscoveryWatch):
+    """A watch that has fallen silent is followed by another one."""
+
+    def _make(self, now: float, version: int) -> ListCall:
+        if not self._since_answer.failures and self._open and not self._whole:
+            self._since_answer.lost = False
+        return super()._make(now, version)
+
+
+class GivenUpForTheNext(DiscoveryWatch):
+    """A call that has got no answer in time is closed when the next one is made."""
+
+    def _make(self, now: float, version: int) -> ListCall:
+        self._drop(list(self._open))
+        return super()._make(now, version)
+
+
+class SpoiltAnswerBacksOff(DiscoveryWatch):
+    """After an answer that cannot be read discovery is left alone for a while."""
+
+    def failed(self, call: ListCall, failure: Failure, now: float) -> None:
+        super().failed(call, Failure.REFUSED, now)
+
+
+class MoveWaitsForTheWatch(DiscoveryWatch):
+    """A new address is asked once the call that is out has ended."""
+
+    def move(self, now: float) -> None:
+        at = self._next_at
+        super().move(now)
+        self._next_at = at
+
+
+class AnswerDropped(HopTable):
+    """Every fourth answer with changes is not taken in, though its version is."""
+
+    def __init__(self, balancers: int) -> None:
+        super().__init__(balancers)
+        self._answers = 0
+
+    def learn(self, update: MapUpdate, whole: bool, now: float) -> Change:
+        self._answers += bool(update.hops)
+        if self._answers % 4 == 3:
+            return Change((), [])
+        return super().learn(update, whole, now)
+
+
+class NoLastLook(Attempts):
+    """What was chosen goes, whatever has become of the endpoint since."""
+
+    def admit(self, call: Call, items: list[Item]) -> list[Item]:
+        return items
+
+
+MUTANTS = {
+    "back-off and spread doubled": Parts(bounds=DoubledBackOff),
+    "long poll after a silence": Parts(watch=LongPollAfterSilence),
+    "an answer dropped": Parts(table=AnswerDropped),
+    "calls closed for the next one": Parts(watch=GivenUpForTheNext),
+    "no recheck in admit": Parts(attempts=NoLastLook),
+    "a rest within the watch": Parts(bounds=RestWithinWatch),
+    "a rest of 0.3 s where lists are pushed": Parts(bounds=LongRestWithAgent),
+    "a back-off after a spoilt answer": Parts(watch=SpoiltAnswerBacksOff),
+    "a move waits for the watch": Parts(watch=MoveWaitsForTheWatch),
+}
--- /dev/null
+++ b/tests/platform/test_mutants.py
@@ -0,0 +1,73 @@
+"""Each mutant breaks rule `drain` on a schedule that the program keeps it on. See docs/drains.md."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.platform.mutants import MUTANTS
+from tests.platform.reference import (
+    Change,
+    Event,
+    Loss,
+    Move,
+    Outage,
+    Schedule,
+    Spoil,
+    State,
+    Trouble,
+)
+from tests.platform.simulation import play
+from tests.platform.test_drain_property import late_bytes
+
+
+def schedule(
+    *events: Event,
+    balancers: int = 1,
+    ask_within_s: float = 10.0,
+    pushed: bool = False,
+    hold_up_s: float = 0.15,
+    connect_s: float = 0.0,
+    seed: int = 0,
+) -> Schedule:
+    return Schedule(balancers, ask_within_s, pushed, hold_up_s, connect_s, seed, events)
+
+
+def leaves(at: float) -> Change:
+    return Change(at, "a", State.LEAVING)
+
+
+HASTY = Outage(0.5, 3.0, Trouble.HASTY)
+SCHEDULES = {
+    "back-off and spread doubled": schedule(
+        Outage(0.5, 12.0, Trouble.REFUSING),
+        leaves(1.0),
+        Loss(12.0, pair=False),
+        balancers=30,
+        ask_within_s=60.0,
+        seed=22,
+    ),
+    "long poll after a silence": schedule(
+        Loss(0.52, pair=True), Change(0.522, "a", State.ACTIVE), leaves(1.012), ask_within_s=4.0
+    ),
+    "an answer dropped": schedule(Change(0.5, "b", State.LEAVING), leaves(1.0), Change(2.0, "b", State.LEFT)),
+    "calls closed for the next one": schedule(
+        Loss(0.3, pair=False), Outage(0.6, 12.0, Trouble.SLOW, 0.45), leaves(3.0), ask_within_s=0.5
+    ),
+    "no recheck in admit": schedule(leaves(0.512), connect_s=0.4),
+    "a rest within the watch": schedule(HASTY, leaves(1.3)),
+    "a rest of 0.3 s where lists are pushed": schedule(HASTY, leaves(1.75), pushed=True),
+    "a back-off after a spoilt answer": schedule(Spoil(0.51), leaves(0.512)),
+    "a move waits for the watch": schedule(
+        Move(0.51), Outage(0.511, 1.01, Trouble.SILENT), leaves(0.512), hold_up_s=0.0
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_mutant_sends_after_the_grace(name: str) -> None:
+    assert late_bytes(SCHEDULES[name], play(SCHEDULES[name], MUTANTS[name]))
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_program_does_not(name: str) -> None:
+    assert not late_bytes(SCHEDULES[name], play(SCHEDULES[name]))
