--- a/tests/platform/reference.py
+++ b/tests/platform/reference.py
@@ -18,6 +18,8 @@
 - After a move the 4 s hold for changes made until the new address has written its first answer, and where it
   could be reached soon enough (`_MOVE_REACHED_S`); after an outage within them, if no call is lost besides.
   A watch that falls silent after that answer has its own clause.
+- A watch that fell silent misses what changes until its wait is over or the sender closes it; after that the
+  clause on given-up calls holds.
 - With no watch open, `askWithin` holds until a call is made: what that one misses has the clause on silence,
   and so has what was made before it, after the answer that it follows.
 - Where lists are pushed, a change counts at once, or at the return of an agent that held its calls; where the
@@ -262,7 +264,8 @@
 
     def _missed_by(self, call: CallRecord, made_at: float) -> float:
         over = call.made_at + call.wait_s
-        if call.silent_from is None or call.closed_at <= call.silent_from or made_at > over:
+        silent = call.silent_from is not None and call.silent_from < call.closed_at
+        if call.silent_from is None or not silent or made_at > min(over, call.closed_at):
             return inf
         at = max(call.silent_from + AFTER_REACHED_S, over + AFTER_WAIT_S)
         if any(begin < at and end > over for begin, end in self._blocked()):
@@ -281,7 +284,7 @@
         if call.silent_from is None or call.wait_s <= SHORT_S or call.closed_at <= call.silent_from:
             return False
         before = max((answer.at for answer in self._record.written if answer.at <= call.made_at), default=0.0)
-        return before <= made_at <= call.made_at + call.wait_s
+        return before <= made_at <= min(call.made_at + call.wait_s, call.closed_at)
 
     def _unasked(self, made_at: float) -> float:
         """No call is out or made, and the last one was answered: `askWithin` after the change."""
