Listen to each short call for all of the time in which an answer counts

WatchBounds.call_life_s was known / 2, and with three calls out the next one waited for the oldest one's end (MOST_OPEN_CALLS in DiscoveryWatch._make).

Change: a call is listened to for `known`; the next is made `known / 5` after the last at most, whatever is out. That bounds the calls by itself (`most_open_calls`, six).

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -24,7 +24,6 @@
 from mountgauge.platform.watch_bounds import (
     ANSWER_MARGIN_S,
     AT_ONCE_S,
-    MOST_OPEN_CALLS,
     MOVE_PAUSE_S,
     NOTIFIED_AFTER_MOVE_S,
     SHORT_WAIT_S,
@@ -152,7 +151,6 @@
         if self._on and now >= self._next_at:
             if self._open:
                 self._since_answer.lost = True  # the newest one has not been answered in time
-            self._drop(self._short_calls()[: 1 - MOST_OPEN_CALLS])
             make.append(self._make(now, version))
         drop, self._dropped = tuple(self._dropped), []
         return Step(tuple(make), drop)
@@ -225,13 +223,8 @@
             return call
         state.short_calls += 1
         self._next_at = now + self.bounds.limit_s(state.short_calls)
-        if len(others := self._short_calls()) == MOST_OPEN_CALLS:
-            self._next_at = max(self._next_at, self._listened_to_until(others[0]))
         return call
 
-    def _short_calls(self) -> list[ListCall]:
-        return [call for call in self._open if call.short]
-
     def _listened_to_until(self, call: ListCall) -> float:
         wait = 0.0 if call.short else call.wait_s + ANSWER_MARGIN_S
         return call.made_at + wait + self.bounds.call_life_s
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -9,8 +9,9 @@
 - Discovery refuses, then comes back right after a refused call: `back_off_most_s` x (1 + `JITTER`) +
   `spread_s` until the next call, `limit_most_s` more if that one is lost, then the answer:
   1.25 + 3.0 + 1.2 = 5.45 s of 6 s with hundreds of senders, 1.25 + 0.4 + 1.2 = 2.85 s with three.
-- Discovery is silent, then comes back: the next call is made at the latest `call_life_s` after the one
-  before, 3.0 s.
+- Discovery is silent, then comes back: the next call is made at the latest `limit_most_s` after the one
+  before, 1.2 s, and is listened to for `call_life_s`, 6.0 s, so that it is heard though its answer takes
+  up to 4.8 s. At most `most_open_calls` are listened to at once, six, and the watch that fell silent.
 - A watch falls silent: further calls are made `ANSWER_MARGIN_S` after its wait and `first_limit_s` after
   that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on) of 2 s.
 - Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
@@ -36,7 +37,6 @@
 MOST_WAIT_S = 60.0  # that discovery lets a call wait
 PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
 SHORT_WAIT_S = 0.001  # of a call that is to be answered at once, with changes or without
-MOST_OPEN_CALLS = 3  # to be answered at once: late ones are listened to while others are made
 
 DISCOVERY_CALL_S = 0.2  # of discovery's time that is left for each other sender after a failed call
 JITTER = 0.25  # share by which back-offs are spread
@@ -80,7 +80,7 @@
             known_within_s=known_within,
             first_limit_s=min(limit_most, max(LEAST_LIMIT_S, crowded)),
             limit_most_s=limit_most,
-            call_life_s=known_within / 2,
+            call_life_s=known_within,
             back_off_most_s=known_within / 6,
             spread_s=min(others, known_within / 2),
             rest_most_s=(
@@ -90,6 +90,18 @@
             ),
         )
 
+    @property
+    def most_open_calls(self) -> int:
+        """How many calls that are to be answered at once are listened to at once, at most.
+
+        Made `first_limit_s`, twice that and then `limit_most_s` after one another, for `call_life_s`.
+        """
+        made, at = 0, 0.0
+        while at < self.call_life_s:
+            made += 1
+            at += self.limit_s(made)
+        return made
+
     def limit_s(self, calls: int) -> float:
         """How long the newest of so many calls without an answer waits alone before another one is made."""
         return min(self.first_limit_s * 2.0 ** (calls - 1), self.limit_most_s)
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -13,7 +13,6 @@
     ANSWER_MARGIN_S,
     FIRST_REST_S,
     JITTER,
-    MOST_OPEN_CALLS,
     MOVE_PAUSE_S,
     NOTIFIED_AFTER_MOVE_S,
     NOTIFIED_AFTER_S,
@@ -115,17 +114,37 @@
     refused = max(bounds.back_off_s(failures, 1.0) for failures in range(1, 60))
     assert refused <= bounds.back_off_most_s * (1 + JITTER) + bounds.spread_s
     assert refused + bounds.limit_most_s < bounds.known_within_s <= NOTIFIED_AFTER_S
-    assert bounds.call_life_s + bounds.limit_most_s < bounds.known_within_s
+    assert bounds.limit_most_s <= bounds.known_within_s / 5, "four fifths are left for a slow answer"
+    assert bounds.call_life_s == bounds.known_within_s
 
 
 def test_a_silent_discovery_is_asked_again_and_again_by_a_bounded_number_of_calls() -> None:
     driven = Driven()
-    made = [driven.call() for _ in range(20)]
-    assert len(driven.watch.open_calls) <= MOST_OPEN_CALLS
+    made, most_open = list[ListCall](), 0
+    for _ in range(20):
+        made.append(driven.call())
+        most_open = max(most_open, len(driven.watch.open_calls))
+    assert most_open == driven.bounds.most_open_calls == 6
     assert all(call.short for call in made)
     gaps = [later.made_at - earlier.made_at for earlier, later in itertools.pairwise(made)]
-    assert max(gaps) <= driven.bounds.call_life_s
-    assert made[-1].made_at - made[0].made_at >= 6 * driven.bounds.call_life_s, "three calls in a life"
+    assert max(gaps) <= driven.bounds.limit_most_s + 1e-9
+    assert made[-1].made_at - made[0].made_at >= 18 * driven.bounds.limit_most_s, "five calls in a life"
+
+
+@pytest.mark.parametrize("made_before", [0, 1, 5, 12])
+def test_an_answer_that_takes_most_of_the_time_is_heard_whenever_discovery_comes_back(
+    made_before: int,
+) -> None:
+    """Every call is listened to for long, not the first of them alone: those before are lost for good."""
+    driven = Driven()
+    for _ in range(made_before):
+        driven.call()
+    back_at, slow_s = driven.now, 4.5
+    call = driven.call()
+    while driven.now < call.made_at + slow_s:
+        driven.poll()
+        driven.now = min(driven.watch.wakes_at(), call.made_at + slow_s)
+    assert driven.answer(call, 9) and driven.now - back_at < driven.bounds.known_within_s
 
 
 def test_a_late_answer_is_taken_in_and_ends_the_calls_before_it_alone() -> None:
