Probe a cut way to discovery at short intervals, so that its end is noticed within the grace

Where a cut of 6 s ends just then, the list has to be read within the grace, 0.3 s, of its end; but the next connection was begun up to `limit_most_s`, 1.2 s, after the last one, and one that was reset at the end of the cut led to a back-off of 0.25 s and more. Beside it: the call after a rest was a long poll, and what changed in the rest could be lost with it for its whole wait.

Change: the watch is told when a call's connection comes up. While none does, others are begun every `probe_s` (0.15 s up to seven senders, 0.02 s for each in larger fleets, more as the cut lasts); the first that comes up asks, the others are closed unasked, so discovery is not asked more often. A connection refused after others hung says that the cut is over: the next is begun at once. The call after a rest is short.

The bound on calls counts those whose connection came up; connections that did not have a bound of their own.

--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -46,7 +46,7 @@
     def begin(self, kept: Connection | None) -> None:
         """Ask on the kept connection, or dial."""
         if kept is not None:
-            self._ask(kept)
+            self._ask_if_needed(kept)
         else:
             self._dial = asyncio.get_running_loop().create_task(self._connect())
 
@@ -66,7 +66,13 @@
         if connection.state is not State.IDLE:
             self._discovery.failed(self, Failure.REFUSED, "the connection broke at once")
             return
-        self._ask(connection)
+        self._ask_if_needed(connection)
+
+    def _ask_if_needed(self, connection: Connection) -> None:
+        if self._discovery.connected(self):
+            self._ask(connection)
+        else:
+            connection.close()
 
     def _ask(self, connection: Connection) -> None:
         self._connection = connection
@@ -174,6 +180,14 @@
 
     # What the exchanges tell
 
+    def connected(self, exchange: ListExchange) -> bool:
+        """The connection of a call has come up; whether it is to ask."""
+        asks = self._watch.connected(exchange.call, self._now())
+        if not asks:
+            self._exchanges.pop(exchange.call, None)
+        self._wake_in_time()
+        return asks
+
     def answered(self, exchange: ListExchange, message: Message, connection: Connection) -> None:
         """A whole answer has come."""
         if self._exchanges.pop(exchange.call, None) is None:
@@ -235,6 +249,9 @@
         for call in step.make:
             exchange = self._exchanges[call] = ListExchange(self, call, self._address)
             exchange.begin(self._take_kept())
+        self._wake_in_time()
+
+    def _wake_in_time(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -1,7 +1,8 @@
 """When to ask discovery, and how long to wait for it: a state machine without I/O or clock.
 
 It is the only place that decides this. Its driver makes the calls that `poll` returns and closes those that
-it drops, tells each answer (`answered`) and failure (`failed`), and polls again at `wakes_at`.
+it drops, tells when the connection of a call has come up (`connected`), each answer (`answered`) and failure
+(`failed`), and polls again at `wakes_at`.
 
 While all goes well one call is out: a watch, which discovery answers once something is newer or the wait is
 over, followed at once by the next. As soon as one has failed or fallen silent, calls ask to be answered at
@@ -12,6 +13,9 @@
 is over, it is still listened to: what discovery has written counts as notified, and a slow discovery would
 never answer if each call were cut off for the next. The same holds for calls to an address that has been
 moved away from, until the new one has answered.
+
+While no connection comes up, others are begun at short intervals, and the first one that does asks: the way
+to discovery may be back at any moment, and what changed before may count as notified just then.
 """
 
 from __future__ import annotations
@@ -54,6 +58,11 @@
         """Whether it is to be answered at once."""
         return self.wait_s <= SHORT_WAIT_S
 
+    def covers(self, other: ListCall) -> bool:
+        """Whether its answer tells all, and as soon, that the other one's would."""
+        same = self.short and self.address == other.address
+        return same and (self.index is None or other.index is not None)
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -68,7 +77,8 @@
     """What has happened since discovery last answered."""
 
     failures: int = 0  # calls that failed
-    short_calls: int = 0  # calls to be answered at once that were made
+    short_calls: int = 0  # calls to be answered at once that were asked
+    unreachable_since: float | None = None  # the first connection was begun that has not come up
     lost: bool = False  # a call has failed or fallen silent: the next ones are short
     asked_again: bool = False  # an answer that may have been written was asked for anew at once
     repeats: int = 0  # watches answered at once with nothing newer
@@ -83,6 +93,7 @@
         self._on = False
         self._open: list[ListCall] = []  # in the order in which they were made
         self._dropped: list[ListCall] = []
+        self._connected_at: dict[ListCall, float] = {}  # of the open ones
         self._next_at = inf  # when the next call is to be made
         self._number = 0
         self._address = 0
@@ -137,7 +148,7 @@
     def ask_whole(self, now: float) -> None:
         """Ask for the whole list at once, whatever is out: a watch may wait long for a change."""
         asking = self._open and self._open[-1].index is None and self._open[-1].address == self._address
-        if asking and self._since_answer.short_calls == 1:
+        if asking and self._since_answer.short_calls <= 1:
             return
         self._whole = True
         self._since_answer = _Progress(lost=True)
@@ -149,12 +160,28 @@
         self._drop([call for call in self._open if now >= self._listened_to_until(call)])
         make = []
         if self._on and now >= self._next_at:
-            if self._open:
-                self._since_answer.lost = True  # the newest one has not been answered in time
+            self._note_lateness()
             make.append(self._make(now, version))
         drop, self._dropped = tuple(self._dropped), []
         return Step(tuple(make), drop)
 
+    def connected(self, call: ListCall, now: float) -> bool:
+        """The connection of the call has come up; whether it is to ask."""
+        if call not in self._open:
+            return False
+        state = self._since_answer
+        state.unreachable_since = None
+        if self._is_needless(call, now):
+            self._forget(call)
+            return False
+        self._connected_at[call] = now
+        if not call.short:
+            self._next_at = now + call.wait_s + ANSWER_MARGIN_S
+        else:
+            state.short_calls += 1
+            self._next_at = now + self.bounds.limit_s(state.short_calls)
+        return True
+
     def wakes_at(self) -> float:
         """When to poll next, if nothing happens before."""
         return min([self._next_at, *map(self._listened_to_until, self._open)])
@@ -167,21 +194,26 @@
         if call not in self._open:
             return False
         older = self._open[: self._open.index(call)]
-        self._open.remove(call)
+        self._forget(call)
         if call.address != self._address:
             return True  # written before the new address has answered
         self._drop(older)
         before, self._since_answer = self._since_answer, _Progress()
         self._whole = False
+        if call.short:
+            self._since_answer.repeats = before.repeats
         if incomplete:
             self._whole = self._since_answer.lost = True
+        self._drop([one for one in self._open if one not in self._connected_at])
         if self._open:
             return True  # a newer call is out, and will be answered
         self._next_at = now
         at_once = not call.short and now - call.made_at < AT_ONCE_S
         if at_once and call.index is not None and version <= call.index:
             # Discovery contradicts itself, or has gone back to an older list: not asked without a rest.
+            # What changes in the rest may count as notified soon after it: the next call is short.
             self._since_answer.repeats = before.repeats + 1
+            self._since_answer.lost = True
             self._next_at = now + self.bounds.rest_s(self._since_answer.repeats)
         return True
 
@@ -189,13 +221,17 @@
         """The call has ended without a list."""
         if call not in self._open:
             return
-        self._open.remove(call)
-        if call.number != self._number:
-            return  # another one has been made for want of its answer
         state = self._since_answer
+        reachable_again = call not in self._connected_at and state.unreachable_since is not None
+        self._forget(call)
+        if call.number != self._number and not reachable_again:
+            return  # another one has been made for want of its answer
         state.lost = True
         state.failures += 1
-        if failure is not Failure.REFUSED and not state.asked_again:
+        state.unreachable_since = None
+        if reachable_again:
+            self._next_at = now  # connections hung, and now one is refused: the cut is over
+        elif failure is not Failure.REFUSED and not state.asked_again:
             state.asked_again = True  # what it told counts as notified already
             self._next_at = now
         elif now - self._moved_at < NOTIFIED_AFTER_MOVE_S and self._whole:
@@ -218,17 +254,41 @@
         wait = SHORT_WAIT_S if state.lost or index is None else self.bounds.wait_s
         call = ListCall(self._number, self._address, index, wait, now)
         self._open.append(call)
-        if not call.short:
-            self._next_at = now + wait + ANSWER_MARGIN_S
-            return call
-        state.short_calls += 1
-        self._next_at = now + self.bounds.limit_s(state.short_calls)
+        since = now if state.unreachable_since is None else state.unreachable_since
+        self._next_at = now + self.bounds.probe_s(now - since)
         return call
 
+    def _note_lateness(self) -> None:
+        """The newest call has not been answered, or its connection has not come up, in time."""
+        if not self._open:
+            return
+        state, newest = self._since_answer, self._open[-1]
+        state.lost = True
+        if newest not in self._connected_at and state.unreachable_since is None:
+            state.unreachable_since = newest.made_at
+
+    def _is_needless(self, call: ListCall, now: float) -> bool:
+        """Whether another call has been asked already that may still be answered in time, or the call would
+        wait for changes though one has been lost.
+        """
+        if not call.short:
+            return self._since_answer.lost
+        return any(
+            other.covers(call) and now - at < self.bounds.first_limit_s / 2
+            for other, at in self._connected_at.items()
+        )
+
     def _listened_to_until(self, call: ListCall) -> float:
+        if call not in self._connected_at:
+            return call.made_at + self.bounds.dial_life_s
         wait = 0.0 if call.short else call.wait_s + ANSWER_MARGIN_S
         return call.made_at + wait + self.bounds.call_life_s
 
+    def _forget(self, call: ListCall) -> None:
+        self._open.remove(call)
+        self._connected_at.pop(call, None)
+
     def _drop(self, calls: list[ListCall]) -> None:
         self._dropped += calls
-        self._open = [call for call in self._open if call not in calls]
+        for call in list(calls):
+            self._forget(call)
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -14,6 +14,10 @@
   up to 4.8 s. At most `most_open_calls` are listened to at once, six, and the watch that fell silent.
 - A watch falls silent: further calls are made `ANSWER_MARGIN_S` after its wait and `first_limit_s` after
   that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on) of 2 s.
+- The way to discovery is cut, and comes back: a connection that does not come up costs discovery nothing, so
+  another one is begun after `probe_s`: 0.15 s in a small fleet, so that a change which counts as notified
+  when the cut ends is read within the grace; more with many senders, or once it has lasted for long. Each is
+  waited for as long as `dial_life_s`, as connections may come up late. Only the first that comes up asks.
 - Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
   listened to for `call_life_s`, 3.0 s of 4 s, so that a slow one still counts.
 
@@ -45,6 +49,11 @@
 LEAST_LIMIT_S = 0.5  # after which a call without an answer gets company, in a small fleet
 LIMIT_PER_SENDER_S = 0.1  # of it for each sender: a crowded discovery is not asked twice as often
 
+PROBE_S = 0.15  # between two connections that are begun while none comes up, in a small fleet
+PROBE_PER_SENDER_S = 0.02  # the same for each sender: they all come back at one time
+PROBE_DECAY = 1 / 40  # of the time for which none has come up: a long cut is probed less often
+DIAL_LIFE_S = 2.0  # for which a connection may take to come up
+
 AT_ONCE_S = 0.05  # a watch that is answered sooner did not wait for changes
 # Rests after a watch that was answered at once with nothing newer. Longer than `WATCH_GAP_S`: a shorter one
 # would belong to the watch, and what changes in it would be notified before it can be read.
@@ -64,6 +73,8 @@
     first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
     limit_most_s: float
     call_life_s: float  # in which a call that was to be answered at once is listened to
+    dial_life_s: float  # for which a connection may take to come up
+    least_probe_s: float  # between two connections while none comes up
     back_off_most_s: float  # after a failed call, without jitter and spread
     spread_s: float  # at random on top of it, so that many senders find a place in discovery's time
     rest_most_s: float
@@ -81,6 +92,8 @@
             first_limit_s=min(limit_most, max(LEAST_LIMIT_S, crowded)),
             limit_most_s=limit_most,
             call_life_s=known_within,
+            dial_life_s=min(DIAL_LIFE_S, known_within),
+            least_probe_s=min(limit_most, max(PROBE_S, PROBE_PER_SENDER_S * rules.balancers)),
             back_off_most_s=known_within / 6,
             spread_s=min(others, known_within / 2),
             rest_most_s=(
@@ -106,6 +119,10 @@
         """How long the newest of so many calls without an answer waits alone before another one is made."""
         return min(self.first_limit_s * 2.0 ** (calls - 1), self.limit_most_s)
 
+    def probe_s(self, unreachable_s: float) -> float:
+        """The time between two connections, when none has come up for so long."""
+        return min(max(self.least_probe_s, PROBE_DECAY * unreachable_s), self.limit_most_s)
+
     def back_off_s(self, failures: int, draw: float) -> float:
         """The pause after so many failures in a row; `draw` is a random number of 0 to 1."""
         base = min(FIRST_BACK_OFF_S * 2.0 ** (failures - 1), self.back_off_most_s)
--- a/tests/platform/reference.py
+++ b/tests/platform/reference.py
@@ -167,6 +167,7 @@
     failed_at: float | None = None
     closed_at: float = inf  # by the sender
     written_at: float | None = None
+    connects: bool = True  # its connection comes up
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -181,6 +181,7 @@
         self._record.calls.append(exchange.record)
         if self.trouble_is(Trouble.SILENT):
             exchange.record.silent_from, exchange.ended = now, True
+            exchange.record.connects = False
         elif self.trouble_is(Trouble.REFUSING):
             self._open.append(exchange)
             self._refuse(exchange)
@@ -296,7 +297,10 @@
             if (exchange := self._exchanges.pop(call, None)) is not None:
                 self._discovery.close(exchange)
         for call in found.make:
-            self._exchanges[call] = self._discovery.take(call)
+            exchange = self._exchanges[call] = self._discovery.take(call)
+            if exchange.record.connects and not self.watch.connected(call, self._time.now()):
+                del self._exchanges[call]
+                self._discovery.close(exchange)
         at = self._woken_at = self.watch.wakes_at()
         if at < float("inf"):
             self._time.call_at(at, lambda: self._wake(at))
--- a/tests/platform/test_drain_property.py
+++ b/tests/platform/test_drain_property.py
@@ -9,6 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from mountgauge.platform.watch_bounds import PROBE_S
 from tests.platform.reference import (
     Change,
     Event,
@@ -38,13 +39,24 @@
     return found
 
 
+def least_ask_within_s(schedule: Schedule) -> float:
+    """The smallest `askWithin` of the schedule's settings."""
+    reloads = [event.ask_within_s for event in schedule.events if isinstance(event, Reload)]
+    return min([schedule.ask_within_s, *reloads])
+
+
+def known_s(schedule: Schedule) -> float:
+    """In how many seconds a change must be known after discovery can be reached."""
+    return min(6.0, 4 * least_ask_within_s(schedule))
+
+
 def most_calls(schedule: Schedule, run: Run) -> float:
     """Calls to discovery that a sender may make: see docs/drains.md."""
-    ask = min([schedule.ask_within_s, *(e.ask_within_s for e in schedule.events if isinstance(e, Reload))])
-    known_s, wait_s = min(6.0, 4 * ask), 2.0 if schedule.pushed else min(60.0, ask)
+    ask = least_ask_within_s(schedule)
+    wait_s = 2.0 if schedule.pushed else min(60.0, ask)
     watches = schedule.end / wait_s + 2 * len(schedule.events)
     troubles = 1 + len([e for e in schedule.events if not isinstance(e, Change)])
-    unanswered = 3 * schedule.end / (known_s / 2) + 5 * troubles
+    unanswered = 6 * schedule.end / known_s(schedule) + 5 * troubles
     rest_s = 0.1 if schedule.pushed else 0.3
     hasty = sum(o.until - o.at for o in schedule.outages if o.trouble is Trouble.HASTY) / rest_s
     moves = len(schedule.moves) * 4.0 / 0.1
@@ -115,4 +127,7 @@
     run = play(schedule)
     assert not late_bytes(schedule, run)
     assert not run.sent.refused, "service goes on whatever discovery does"
-    assert len(run.record.calls) <= most_calls(schedule, run)
+    asked = [call for call in run.record.calls if call.connects]
+    assert len(asked) <= most_calls(schedule, run)
+    probes = len(run.record.calls) - len(asked)
+    assert probes <= schedule.end / min(PROBE_S, known_s(schedule) / 5) + len(schedule.events)
--- a/tests/platform/test_mutants.py
+++ b/tests/platform/test_mutants.py
@@ -54,8 +54,8 @@
         Loss(0.3, pair=False), Outage(0.6, 12.0, Trouble.SLOW, 0.45), leaves(3.0), ask_within_s=0.5
     ),
     "no recheck in admit": schedule(leaves(0.512), connect_s=0.4),
-    "a rest within the watch": schedule(HASTY, leaves(1.3)),
-    "a rest of 0.3 s where lists are pushed": schedule(HASTY, leaves(1.75), pushed=True),
+    "a rest within the watch": schedule(HASTY, leaves(0.72)),
+    "a rest of 0.3 s where lists are pushed": schedule(HASTY, leaves(0.83), pushed=True),
     "a back-off after a spoilt answer": schedule(Spoil(0.51), leaves(0.512)),
     "a move waits for the watch": schedule(
         Move(0.51), Outage(0.511, 1.01, Trouble.SILENT), leaves(0.512), hold_up_s=0.0
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -11,12 +11,15 @@
 from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
 from mountgauge.platform.watch_bounds import (
     ANSWER_MARGIN_S,
+    DIAL_LIFE_S,
+    FIRST_BACK_OFF_S,
     FIRST_REST_S,
     JITTER,
     MOVE_PAUSE_S,
     NOTIFIED_AFTER_MOVE_S,
     NOTIFIED_AFTER_S,
     NOTIFIED_AFTER_WAIT_S,
+    PROBE_S,
     SHORT_WAIT_S,
     WATCH_GAP_S,
     WatchBounds,
@@ -49,11 +52,12 @@
         self.dropped += step.drop
         return list(step.make)
 
-    def call(self) -> ListCall:
-        """The next call, whenever it is made."""
+    def call(self, connects: bool = True) -> ListCall:
+        """The next call, whenever it is made; its connection comes up at once, or not yet."""
         for _ in range(100):
             if made := self.poll():
                 assert len(made) == 1
+                assert not connects or self.watch.connected(made[0], self.now)
                 return made[0]
             assert self.watch.wakes_at() > self.now
             self.now = self.watch.wakes_at()
@@ -147,6 +151,62 @@
     assert driven.answer(call, 9) and driven.now - back_at < driven.bounds.known_within_s
 
 
+def test_while_no_connection_comes_up_others_are_begun_and_the_first_that_does_asks() -> None:
+    """The way to discovery is cut. A connection costs discovery nothing until something is asked on it."""
+    driven = Driven()
+    driven.watching()
+    dials = [driven.call(connects=False) for _ in range(30)]
+    gaps = [later.made_at - earlier.made_at for earlier, later in itertools.pairwise(dials)]
+    assert max(gaps) <= driven.bounds.least_probe_s + 1e-9 == PROBE_S + 1e-9
+    waiting = [call for call in dials if call in driven.watch.open_calls]
+    assert len(waiting) <= DIAL_LIFE_S / PROBE_S + 1
+    driven.now += 0.1
+    assert driven.watch.connected(waiting[0], driven.now), "one that came up late"
+    assert not any(driven.watch.connected(call, driven.now) for call in waiting[1:]), "one asks for all"
+    assert driven.watch.wakes_at() == driven.now + driven.bounds.first_limit_s
+    driven.answer(waiting[0], 6)
+    assert not driven.call().short
+
+
+def test_a_long_cut_is_probed_less_often() -> None:
+    driven = Driven()
+    dials = [driven.call(connects=False)]
+    while driven.now < 200.0:
+        dials.append(driven.call(connects=False))
+    assert dials[-1].made_at - dials[-2].made_at == pytest.approx(driven.bounds.limit_most_s)
+
+
+def test_a_connection_that_is_refused_after_others_hung_says_that_the_cut_is_over() -> None:
+    """Connections into a cut are reset once it is over: a back-off would be longer than the grace."""
+    driven = Driven()
+    dials = [driven.call(connects=False) for _ in range(4)]
+    driven.now += 0.05
+    for dial in dials:
+        driven.watch.failed(dial, Failure.REFUSED, driven.now)
+    call = driven.call()
+    assert call.made_at == driven.now and not driven.poll(), "one call for all of them"
+    driven.watch.failed(call, Failure.REFUSED, driven.now)
+    assert driven.watch.wakes_at() - driven.now >= FIRST_BACK_OFF_S, "discovery is down"
+
+
+def test_a_watch_whose_connection_does_not_come_up_is_not_waited_for() -> None:
+    driven = Driven()
+    driven.answer(driven.call())
+    watch = driven.call(connects=False)
+    assert not watch.short
+    call = driven.call()
+    assert call.short and call.made_at == watch.made_at + PROBE_S
+    assert not driven.watch.connected(watch, driven.now), "it would wait for changes"
+
+
+def test_the_whole_list_is_asked_for_though_changes_have_been() -> None:
+    driven = Driven()
+    changes = driven.call()
+    driven.watch.ask_whole(driven.now)
+    whole = driven.call()
+    assert whole.index is None and whole.made_at == changes.made_at
+
+
 def test_a_late_answer_is_taken_in_and_ends_the_calls_before_it_alone() -> None:
     driven = Driven()
     first, second, third = driven.call(), driven.call(), driven.call()
@@ -258,6 +318,9 @@
         driven.answer(call, 4)
         before, call = driven.now, driven.call()
         rests.append(round(call.made_at - before, 3))
+        assert call.short, "what changed in the rest may count as notified soon"
+        driven.answer(call, 4)
+        call = driven.call()
     assert rests == [0.3, 0.6, 1.2, 2.0, 2.0, 2.0] and rests[0] > WATCH_GAP_S
     driven.now += 5.0  # one that waited says that all is well again
     driven.answer(call, 4)
@@ -274,6 +337,8 @@
         driven.answer(call, 4)
         before, call = driven.now, driven.call()
         assert 0 < call.made_at - before <= grace_s - hold_up_s - answer_s
+        driven.answer(call, 4)
+        call = driven.call()
 
 
 def test_lower_settings_end_a_longer_wait() -> None:
