Probe a cut way every 0.01 s for each sender from sixteen senders on

Cause: with 0.02 s for each sender a cut of 6 s that ends with the notified time was noticed up to 0.08 s late by one of twelve senders, 0.45 s by one of thirty (virtual time, 1,680 cuts of 3 to 6 s, askWithin 1 to 10 s; one, three and five senders never late). Connections alone cost discovery nothing.

--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -50,7 +50,7 @@
 LIMIT_PER_SENDER_S = 0.1  # of it for each sender: a crowded discovery is not asked twice as often
 
 PROBE_S = 0.15  # between two connections that are begun while none comes up, in a small fleet
-PROBE_PER_SENDER_S = 0.02  # the same for each sender: they all come back at one time
+PROBE_PER_SENDER_S = 0.01  # the same for each sender: they all come back at one time
 PROBE_DECAY = 1 / 40  # of the time for which none has come up: a long cut is probed less often
 DIAL_LIFE_S = 2.0  # for which a connection may take to come up
 
