Keep asking for the whole list where an older call for changes is answered first

Cause: DiscoveryWatch.answered took any answer of the current address for what was asked for: with the whole list owed (`ask_whole`, `distrust`, an incomplete change) an older call's changes cleared `_whole` and closed the call for the whole list whose connection had not come up. And a connection to an address moved away from could be taken for the sign that a cut is over.

Change: until a whole list has come, changes are taken in and nothing else; only connections to the current address tell of a cut's end.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -195,8 +195,8 @@
             return False
         older = self._open[: self._open.index(call)]
         self._forget(call)
-        if call.address != self._address:
-            return True  # written before the new address has answered
+        if call.address != self._address or (self._whole and call.index is not None):
+            return True  # the list that is asked for is still to come
         self._drop(older)
         before, self._since_answer = self._since_answer, _Progress()
         self._whole = False
@@ -222,7 +222,8 @@
         if call not in self._open:
             return
         state = self._since_answer
-        reachable_again = call not in self._connected_at and state.unreachable_since is not None
+        hung = state.unreachable_since is not None and call.address == self._address
+        reachable_again = hung and call not in self._connected_at
         self._forget(call)
         if call.number != self._number and not reachable_again:
             return  # another one has been made for want of its answer
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -203,8 +203,11 @@
     driven = Driven()
     changes = driven.call()
     driven.watch.ask_whole(driven.now)
-    whole = driven.call()
+    whole = driven.call(connects=False)
     assert whole.index is None and whole.made_at == changes.made_at
+    assert driven.answer(changes, 6) and driven.watch.connected(whole, driven.now), "still asked for"
+    driven.answer(whole, 6)
+    assert driven.call().index == 6
 
 
 def test_a_late_answer_is_taken_in_and_ends_the_calls_before_it_alone() -> None:
