--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -9,10 +9,15 @@
 - Discovery refuses, then comes back right after a refused call: `back_off_most_s` x (1 + `JITTER`) +
   `spread_s` until the next call, `limit_most_s` more if that one is lost, then the answer:
   1.25 + 3.0 + 1.2 = 5.45 s of 6 s with hundreds of senders, 1.25 + 0.4 + 1.2 = 2.85 s with three.
-- Discovery is silent, then comes back: the next call is made at the latest `call_life_s` after the one
-  before, 3.0 s.
+- Discovery is silent, then comes back: the next call is made at the latest `limit_most_s` after the one
+  before, 1.2 s, and is listened to for `call_life_s`, 6.0 s, so that it is heard though its answer takes
+  up to 4.8 s. At most `most_open_calls` are listened to at once, six, and the watch that fell silent.
 - A watch falls silent: further calls are made `ANSWER_MARGIN_S` after its wait and `first_limit_s` after
   that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on) of 2 s.
+- The way to discovery is cut, and comes back: a connection that does not come up costs discovery nothing, so
+  another one is begun after `probe_s`: 0.15 s in a small fleet, so that a change which counts as notified
+  when the cut ends is read within the grace; more with many senders, or once it has lasted for long. Each is
+  waited for as long as `dial_life_s`, as connections may come up late. Only the first that comes up asks.
 - Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
   listened to for `call_life_s`, 3.0 s of 4 s, so that a slow one still counts.
 
@@ -36,7 +41,6 @@
 MOST_WAIT_S = 60.0  # that discovery lets a call wait
 PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
 SHORT_WAIT_S = 0.001  # of a call that is to be answered at once, with changes or without
-MOST_OPEN_CALLS = 3  # to be answered at once: late ones are listened to while others are made
 
 DISCOVERY_CALL_S = 0.2  # of discovery's time that is left for each other sender after a failed call
 JITTER = 0.25  # share by which back-offs are spread
@@ -45,11 +49,19 @@
 LEAST_LIMIT_S = 0.5  # after which a call without an answer gets company, in a small fleet
 LIMIT_PER_SENDER_S = 0.1  # of it for each sender: a crowded discovery is not asked twice as often
 
+PROBE_S = 0.15  # between two connections that are begun while none comes up, in a small fleet
+PROBE_PER_SENDER_S = 0.01  # the same for each sender: they all come back at one time
+PROBE_DECAY = 1 / 40  # of the time for which none has come up: a long cut is probed less often
+DIAL_LIFE_S = 2.0  # for which a connection may take to come up
+
 AT_ONCE_S = 0.05  # a watch that is answered sooner did not wait for changes
 # Rests after a watch that was answered at once with nothing newer. Longer than `WATCH_GAP_S`: a shorter one
 # would belong to the watch, and what changes in it would be notified before it can be read.
 FIRST_REST_S = 0.3
 MOST_REST_S = 2.0
+# Where lists are pushed, what the agent has counts as notified at once, also during a rest: with a hold-up of
+# 0.15 s and the answer it must be within the grace of a drain.
+PUSHED_REST_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +73,8 @@
     first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
     limit_most_s: float
     call_life_s: float  # in which a call that was to be answered at once is listened to
+    dial_life_s: float  # for which a connection may take to come up
+    least_probe_s: float  # between two connections while none comes up
     back_off_most_s: float  # after a failed call, without jitter and spread
     spread_s: float  # at random on top of it, so that many senders find a place in discovery's time
     rest_most_s: float
@@ -77,16 +91,38 @@
             known_within_s=known_within,
             first_limit_s=min(limit_most, max(LEAST_LIMIT_S, crowded)),
             limit_most_s=limit_most,
-            call_life_s=known_within / 2,
+            call_life_s=known_within,
+            dial_life_s=min(DIAL_LIFE_S, known_within),
+            least_probe_s=min(limit_most, max(PROBE_S, PROBE_PER_SENDER_S * rules.balancers)),
             back_off_most_s=known_within / 6,
             spread_s=min(others, known_within / 2),
-            rest_most_s=max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2)),
+            rest_most_s=(
+                max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2))
+                if rules.subscribe
+                else PUSHED_REST_S
+            ),
         )
 
+    @property
+    def most_open_calls(self) -> int:
+        """How many calls that are to be answered at once are listened to at once, at most.
+
+        Made `first_limit_s`, twice that and then `limit_most_s` after one another, for `call_life_s`.
+        """
+        made, at = 0, 0.0
+        while at < self.call_life_s:
+            made += 1
+            at += self.limit_s(made)
+        return made
+
     def limit_s(self, calls: int) -> float:
         """How long the newest of so many calls without an answer waits alone before another one is made."""
         return min(self.first_limit_s * 2.0 ** (calls - 1), self.limit_most_s)
 
+    def probe_s(self, unreachable_s: float) -> float:
+        """The time between two connections, when none has come up for so long."""
+        return min(max(self.least_probe_s, PROBE_DECAY * unreachable_s), self.limit_most_s)
+
     def back_off_s(self, failures: int, draw: float) -> float:
         """The pause after so many failures in a row; `draw` is a random number of 0 to 1."""
         base = min(FIRST_BACK_OFF_S * 2.0 ** (failures - 1), self.back_off_most_s)
--- a/mountgauge/sharding/picker.py
+++ b/mountgauge/sharding/picker.py
@@ -21,18 +21,22 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayName:
+    """A relay and the zone that it serves in."""
+
     name: str
     zone: str
 
 
-class NoRelays(ValueError):
+class NoRelaysError(ValueError):
     """There is none to ask."""
 
 
 class Picker:
+    """Chooses the relay to ask: those of the own zone first, another one after a failure."""
+
     def __init__(self, relays: Sequence[RelayName], zone: str, timing: Timing, rng: Random) -> None:
         if not relays:
-            raise NoRelays("no relays are listed")
+            raise NoRelaysError("no relays are listed")
         own = [one for one in relays if one.zone == zone]
         others = [one for one in relays if one.zone != zone]
         rng.shuffle(own)
