Take spans over a restart from the monotonic clock, with stamps in each file

A clock that was set between writing and reading gave messages up, kept them past their time, opened and shut repeat windows, dropped waits. `agent.Instance.reload` slept until a wall time.

Change: `core/durable_time.py` is the one place that decides. Times in a file are in the base of their writer, which its monotonic clock moves on; a stamp (both clocks, the base, the boot id) says how that base stood. A reader takes the monotonic span where the boot is the same and nothing on record is ahead of its monotonic clock, else the wall clock's; one that is behind the newest record counts as set back: repeat windows are over, no time has gone by for deadlines and waits, an age is unknown. Files without stamps are read as before.

Tests: `SteppedClocks` (both clocks movable apart) is what `Bench` has for clocks.

--- a/benchmarks/slopes/recovery.py
+++ b/benchmarks/slopes/recovery.py
@@ -7,6 +7,7 @@
 
 from benchmarks.slopes.probe import Axis, Probe, Sample, timed
 from benchmarks.slopes.worlds import asked_policy, listed_policy
+from mountgauge.core.durable_time import Stamp
 from mountgauge.recovery.destinations import destination_states
 from mountgauge.recovery.identity import Identity
 from mountgauge.recovery.table import lines
@@ -33,12 +34,12 @@
 def _facts(count: int) -> Sample:
     """The subsystem alone, on a runtime that has only what it asks of it; each destination is asked for."""
     policy = asked_policy(count)
-    clock = SimpleNamespace(now=lambda: 101.0, wall=lambda: 1_000_101.0)
-    core = SimpleNamespace(policy=policy, clock=clock, rules=policy.set, version=1)
+    stamp = Stamp("", 1_000_101.0, 101.0, 1_000_101.0)
+    core = SimpleNamespace(policy=policy, rules=policy.set, version=1)
     part = RecoverySubsystem.__new__(RecoverySubsystem)
     part.runtime = cast("Runtime", SimpleNamespace(sender=core))
     part.identity = Identity("slopes", "0" * 16, 1, False)
-    return lambda: timed(part.facts)
+    return lambda: timed(lambda: part.facts(stamp))
 
 
 def _table(count: int) -> Sample:
--- a/benchmarks/slopes/worlds.py
+++ b/benchmarks/slopes/worlds.py
@@ -89,6 +89,9 @@
     def wall(self) -> float:
         return self.time + 1_000_000.0
 
+    def boot(self) -> str:
+        return ""
+
     def call_at(self, when: float, then: Callable[[], None]) -> None:
         self.due.append(then)
 
@@ -117,7 +120,7 @@
 
 def sender(policy: Policy, peers: Peers, folder: Path | None = None) -> Sender:
     """A core on a journal of its own."""
-    journal = Journal(folder or Path(tempfile.mkdtemp(prefix="slopes-")), DISK_BYTES)
+    journal = Journal(folder or Path(tempfile.mkdtemp(prefix="slopes-")), DISK_BYTES, clock=peers)
     found = Sender(policy, NAMES, journal, peers, {"platform": peers})
     found.next_hops = found.map = peers
     return found
--- a/mountgauge/agent.py
+++ b/mountgauge/agent.py
@@ -70,7 +70,8 @@
         self.name, self.command = name, command
         self.state, self.restarts = "starting", 0
         self.exit: int | None = None
-        self.since = time.time()
+        self.since = time.time()  # for those who read the report
+        self._began = time.monotonic()  # of this state
         self._process: asyncio.subprocess.Process | None = None
         self._task: asyncio.Task[None] | None = None
         self._stopping = False
@@ -79,7 +80,7 @@
         self._task = asyncio.get_running_loop().create_task(self._keep())
 
     def _become(self, state: str) -> None:
-        self.state, self.since = state, time.time()
+        self.state, self.since, self._began = state, time.time(), time.monotonic()
         log.info("instance", extra=kv(name=self.name, state=state, restarts=self.restarts, exit=self.exit))
 
     async def _keep(self) -> None:
@@ -128,7 +129,7 @@
         if self.state == "failed":
             self.start()
         elif (process := self._process) is not None:
-            await asyncio.sleep(self.since + _READY - time.time())  # it must have its handler by then
+            await asyncio.sleep(self._began + _READY - time.monotonic())  # it must have its handler by then
             if process is self._process:
                 process.send_signal(signal.SIGHUP)
 
--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -141,7 +141,7 @@
         if not going or (self.call_gate is not None and not self.call_gate.take(call)):
             return []
         try:
-            self._journal.attempt([item.id for item in going], self._clock.wall(), hop.entry.zone)
+            self._journal.attempt([item.id for item in going], self._journal.time.of(now), hop.entry.zone)
         except JournalFullError as error:
             log.warning("journal-full", extra=kv(reason=error))
             return []
--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -2,12 +2,16 @@
 
 A record is its payload's length and CRC-32, then the payload: one letter, one JSON value and, behind a
 line feed, the message's body. Data outlasts the process once `write()` has returned, so nothing is synced.
+
+Times are in the base of the process that wrote them. A record `C` says how that base stood to its clocks,
+before the first record of a process and then once a second at most, before another record.
 """
 
 from __future__ import annotations
 
 import contextlib
 import fcntl
+import math
 import os
 import struct
 import zlib
@@ -19,6 +23,16 @@
 
 import orjson
 
+from mountgauge.core.durable_time import (
+    LONG_AGO,
+    STAMP_EVERY_S,
+    Basis,
+    Clocks,
+    ProcessTime,
+    Stamp,
+    SystemClocks,
+    rebase,
+)
 from mountgauge.core.ports import End, Status
 
 _HEAD = struct.Struct("<II")
@@ -37,7 +51,7 @@
 
 @dataclass(slots=True, eq=False)
 class Stored:
-    """A message that was taken on and has not ended. Times are of the wall clock."""
+    """A message that was taken on and has not ended. Times are in the base of this process."""
 
     id: str
     grade: str
@@ -66,6 +80,18 @@
         return _record(b"T", head, self.body)
 
 
+@dataclass(slots=True)
+class _Loading:
+    """What is known of time while a file is read."""
+
+    stamp: Stamp | None = None  # the last one
+    newest: float = -math.inf  # time on record that has passed, in the base of the stamp
+    ids: set[str] = field(default_factory=set)  # messages that this file takes on
+
+    def passed(self, time: float) -> None:
+        self.newest = max(self.newest, time)
+
+
 def _record(kind: bytes, head: object, body: bytes | None = None) -> bytes:
     payload = kind + orjson.dumps(head) + (b"" if body is None else b"\n" + body)
     return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
@@ -106,9 +132,14 @@
 class Journal:
     """One process's journal: a slot of the folder, held by a lock; free slots of others are adopted."""
 
-    def __init__(self, folder: Path, disk_bytes: int, slots: int = _SLOTS) -> None:
+    def __init__(
+        self, folder: Path, disk_bytes: int, slots: int = _SLOTS, clock: Clocks | None = None
+    ) -> None:
         self.folder, self.live, self.ends = folder, dict[str, Stored](), OrderedDict[str, End]()
         self.cut = 0  # bytes of a torn tail that were cut at the start
+        self.time = ProcessTime(clock or SystemClocks())
+        self._opened = self.time.stamp()  # by which what is found in the folder is read
+        self._stamped: Stamp | None = None  # the last one in the file that is of this process
         self._most = disk_bytes
         self._live_bytes = 0
         self._slots = slots
@@ -170,7 +201,8 @@
         self._file, self._size = file, len(content)
 
     def _content(self) -> bytes:
-        records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
+        records = [_record(b"C", list(self.time.stamp()))]
+        records += [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
         records += [stored.record() for stored in self.live.values()]
         return b"".join(records)
 
@@ -196,7 +228,8 @@
                 told = [(i, end) for i, end in self.ends.items() if ends.get(i) is not end]
                 records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in told]
                 records += [stored.record() for stored in fresh]
-                content = b"".join(records)
+                stamps = [*([] if self._stamped else [self._opened]), self.time.stamp()]
+                content = b"".join([*(_record(b"C", list(stamp)) for stamp in stamps), *records])
                 try:
                     self._write_all(self._file, content)
                 except OSError:  # half a record would cut off all that is appended behind it
@@ -207,7 +240,7 @@
                     self.ends = ends
                     self.others.append(path)
                     continue
-                self._size += len(content)
+                self._size, self._stamped = self._size + len(content), stamps[-1]
                 path.unlink()
                 spare.unlink(missing_ok=True)
                 adopted += fresh
@@ -218,12 +251,12 @@
     # Reading
 
     def _load(self, path: Path, file: int | None) -> int:
-        content = path.read_bytes()
+        content, loading = path.read_bytes(), _Loading()
         at = 0
         while at + _HEAD.size <= len(content):
             size, check = _HEAD.unpack_from(content, at)
             payload = content[at + _HEAD.size : at + _HEAD.size + size]
-            if len(payload) < size or zlib.crc32(payload) != check or not self._replay(payload):
+            if len(payload) < size or zlib.crc32(payload) != check or not self._replay(payload, loading):
                 break
             at += _HEAD.size + size
         # A process killed in a write leaves a torn tail. All before it was complete, so only it goes.
@@ -231,16 +264,41 @@
             self.cut += len(content) - at
             if file is not None:  # an adopted file goes whole once read
                 os.ftruncate(file, at)
+        self._rebase(loading, self.time.stamp())
         return at
 
-    def _replay(self, payload: bytes) -> bool:
+    def _replay(self, payload: bytes, loading: _Loading) -> bool:
+        kind = payload[:1]
         try:
-            head, _, body = payload[1:].partition(b"\n")
-            self._apply(payload[:1], orjson.loads(head), body)
+            text, _, body = payload[1:].partition(b"\n")
+            head = orjson.loads(text)
+            if kind == b"C":
+                boot, wall, monotonic, base = head
+                self._rebase(loading, Stamp(str(boot), float(wall), float(monotonic), float(base)))
+                return True
+            self._apply(kind, head, body)
+            if kind == b"T":
+                loading.ids.add(head[0])
+                for at, _ in head[7]:
+                    loading.passed(at)
+            elif kind == b"A":
+                loading.passed(float(head[1]))
         except (ValueError, TypeError, IndexError):
             return False
         return True
 
+    def _rebase(self, loading: _Loading, stamp: Stamp) -> None:
+        """What was read so far has its times in the base of this stamp from now on."""
+        shift, basis = rebase(loading.stamp, loading.newest, stamp)
+        loading.stamp = stamp
+        if shift or basis is Basis.SET_BACK:
+            for stored in filter(None, map(self.live.get, loading.ids)):
+                stored.expires += shift
+                set_back = basis is Basis.SET_BACK
+                stored.ran = [(LONG_AGO if set_back else at + shift, zone) for at, zone in stored.ran]
+            loading.newest += shift
+        loading.passed(stamp.base)
+
     def _apply(self, kind: bytes, head: list[Any], body: bytes) -> None:
         if kind == b"T":
             msg_id, grade, expires, dest, key, front, attempts, ran, notice = head
@@ -329,6 +387,8 @@
             view = view[os.write(file, view) :]
 
     def _append(self, content: bytes, reserve: int) -> None:
+        stamps = self._stamps_due()
+        content = b"".join([*(_record(b"C", list(stamp)) for stamp in stamps), content])
         if not self._fits(len(content), reserve):
             raise JournalFullError(f"{self._size} of {self._most} bytes in use")
         try:
@@ -338,6 +398,18 @@
             os.ftruncate(self._file, self._size)
             raise JournalFullError(str(error)) from error
         self._size += len(content)
+        if stamps:
+            self._stamped = stamps[-1]
+
+    def _stamps_due(self) -> list[Stamp]:
+        """How the clocks stand, where the file does not say it of a moment ago; before it how they stood when
+        what is before it in the file was read, so that the next process reads that as this one did.
+        """
+        last = self._stamped or self._opened
+        stamps = [] if self._stamped is not None else [self._opened]
+        if self.time.now() - last.base >= STAMP_EVERY_S:
+            stamps.append(self.time.stamp())
+        return stamps
 
     def take(self, stored: Stored) -> None:
         content = stored.record()
@@ -346,12 +418,12 @@
         self._append(content, _RESERVE)
         self._add(stored)
 
-    def attempt(self, msg_ids: Iterable[str], wall: float, zone: int) -> None:
-        """Before the first byte: from here on each of these may have run."""
+    def attempt(self, msg_ids: Iterable[str], at: float, zone: int) -> None:
+        """Before the first byte: from here on, at this time, each of these may have run."""
         msg_ids = [i for i in msg_ids if i in self.live]
-        self._append(b"".join(_record(b"A", [i, wall, zone]) for i in msg_ids), 0)
+        self._append(b"".join(_record(b"A", [i, at, zone]) for i in msg_ids), 0)
         for i in msg_ids:
-            self._apply(b"A", [i, wall, zone], b"")
+            self._apply(b"A", [i, at, zone], b"")
 
     def _note(self, kind: bytes, head: list[Any]) -> bool:
         try:
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
+from mountgauge.core.durable_time import Clocks
 from rillspindle.interface import Entry, Outcome
 
 
@@ -171,11 +172,7 @@
     def snapshot(self) -> None: ...
 
 
-class Clock(Protocol):
-    """Time in s: `now` is monotonic, `wall` is the wall clock's."""
-
-    def now(self) -> float: ...
-
-    def wall(self) -> float: ...
+class Clock(Clocks, Protocol):
+    """Time in s, and calls at a time of the monotonic clock."""
 
     def call_at(self, when: float, then: Callable[[], None]) -> None: ...
--- a/mountgauge/core/restore.py
+++ b/mountgauge/core/restore.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from mountgauge.core.config import Names
+from mountgauge.core.durable_time import ProcessTime
 from mountgauge.core.held import Held
 from mountgauge.core.journal import Stored
 from mountgauge.core.ports import End, Status
@@ -31,11 +32,11 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, held: Held, grade: int, offset: float) -> None:
-        """`offset`: of the sender's clock to the wall's, in which the journal has its times, s."""
+    def add(self, held: Held, grade: int, time: ProcessTime) -> None:
+        """`time`: what the journal's times are on the sender's clock."""
         stored = held.stored
         held.issued = stored.attempts
-        ran = tuple((at + offset, zone) for at, zone in stored.ran)
+        ran = tuple((time.monotonic(at), zone) for at, zone in stored.ran)
         self._waiting.append(Restored(held.number, held.expires, stored.dest, grade, stored.attempts, ran))
 
     def take(self) -> list[Restored]:
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -180,19 +180,18 @@
 
     def restore(self, stored_ones: list[Stored]) -> None:
         """Messages of an earlier process, from its journal: at the start, or adopted at a hand-over."""
-        offset = self.clock.now() - self.clock.wall()
         for stored in stored_ones:
             if stored.id in self.numbers:
                 continue
             if (end := end_without_class(stored, self.names)) is not None:
                 stored.notice = end
                 self.journal.give_up(stored.id, end)
-            held = self._hold(stored, stored.expires + offset)
+            held = self._hold(stored, self.journal.time.monotonic(stored.expires))
             if stored.notice is not None:  # given up by the last process, whose notice may not have arrived
                 held.over = True
                 self._tell(held, stored.notice)
                 continue
-            self._backlog.add(held, self.names.grades.index(stored.grade), offset)
+            self._backlog.add(held, self.names.grades.index(stored.grade), self.journal.time)
         if stored_ones:
             log.info("restored", extra=kv(messages=len(stored_ones), cut_bytes=self.journal.cut))
         self._soon()
@@ -359,9 +358,8 @@
             one.answer(End(Status.DEFERRED, math.ceil(min(wait, self.rules.max_retry_after) * 1000)))
         else:
             expires = now + one.left
-            wall = self.clock.wall() + one.left
-            grade = self.names.grades[one.grade]
-            return self._hold(Stored(one.id, grade, wall, one.dest, one.key, one.front, one.body), expires)
+            until, grade = self.journal.time.of(expires), self.names.grades[one.grade]
+            return self._hold(Stored(one.id, grade, until, one.dest, one.key, one.front, one.body), expires)
         return None
 
     def _hold(self, stored: Stored, expires: float) -> Held:
--- a/mountgauge/core/shared_waits.py
+++ b/mountgauge/core/shared_waits.py
@@ -1,35 +1,54 @@
-"""Told waits in the form that two processes of one sender share through the state folder, in wall time.
+"""Told waits in the form that two processes of one sender share through the state folder.
 
 While an old and a new process serve side by side they are one sender: a wait that an endpoint told one
 binds the other. No I/O and no clock here: times come in, bytes go out.
+
+A file is a JSON object: `clock`, how the writer's clocks stood, and `waits`, until when each holds in the
+writer's base. One of an older version is the waits alone, in wall time.
 """
 
 from __future__ import annotations
 
 import orjson
 
+from mountgauge.core.durable_time import Stamp, rebase
+
 
-def encode(waits: dict[object, float], now: float, wall: float) -> bytes:
-    """Waits by what shares the limit (a destination number, or an endpoint id), until when in wall time."""
+def encode(waits: dict[object, float], now: Stamp) -> bytes:
+    """Waits by what shares the limit (a destination number, or an endpoint id), until when on the monotonic
+    clock.
+    """
     found = {
-        (f"d{limit}" if isinstance(limit, int) else f"e{limit}"): wall + until - now
+        (f"d{limit}" if isinstance(limit, int) else f"e{limit}"): now.base + until - now.monotonic
         for limit, until in waits.items()
-        if until > now
+        if until > now.monotonic
     }
-    return orjson.dumps(found)
+    return orjson.dumps({"clock": list(now), "waits": found})
 
 
-def decode(content: bytes, now: float, wall: float) -> dict[object, float]:
-    """ValueError where it is not such a file; waits over already are left out."""
+def decode(content: bytes, now: Stamp) -> dict[object, float]:
+    """Until when on the monotonic clock; ValueError where it is not such a file. Waits over already are left
+    out.
+    """
     found = orjson.loads(content)
     if not isinstance(found, dict):
         raise ValueError("not an object")
+    shift = 0.0
+    if "clock" in found:
+        try:
+            boot, wall, monotonic, base = found["clock"]
+            saved = Stamp(str(boot), float(wall), float(monotonic), float(base))
+            found = dict(found["waits"])
+        except (TypeError, KeyError) as error:
+            raise ValueError(f"not a clock and waits: {error}") from None
+        shift, _ = rebase(saved, saved.base, now)
     waits: dict[object, float] = {}
     for name, until in found.items():
         if not isinstance(until, int | float) or len(name) < 2 or name[0] not in "de":
             raise ValueError(f"not a wait: {name!r}")
-        if until > wall:
-            waits[int(name[1:]) if name[0] == "d" else name[1:]] = now + until - wall
+        left = until + shift - now.base
+        if left > 0:
+            waits[int(name[1:]) if name[0] == "d" else name[1:]] = now.monotonic + left
     return waits
 
 
--- a/mountgauge/recovery/files.py
+++ b/mountgauge/recovery/files.py
@@ -6,6 +6,7 @@
 import secrets
 from pathlib import Path
 
+from mountgauge.core.durable_time import Stamp
 from mountgauge.recovery import identity as who
 from mountgauge.recovery import state_file
 from mountgauge.recovery.identity import Found, Identity
@@ -47,15 +48,15 @@
         if (found := self._said()) is None or found.life <= identity.life:
             self.say(identity._replace(clean=True))
 
-    def remembered(self, now: float, origin: str, known_version: float) -> Judged:
+    def remembered(self, now: Stamp, origin: str, known_version: float) -> Judged:
         return state_file.judged(_read(self.remembered_path) or b"", now, origin, known_version)
 
-    def remember(self, facts: list[Fact]) -> bool:
+    def remember(self, facts: list[Fact], now: Stamp, origin: str) -> bool:
         """Write the facts where they have changed; whether anything was written."""
         content = state_file.encode(facts)
         if content == self._written and self.remembered_path.exists():
             return False
-        _replace(self.remembered_path, content)
+        _replace(self.remembered_path, state_file.encode([state_file.clock(now, origin), *facts]))
         self._written = content
         return True
 
--- a/mountgauge/recovery/state_file.py
+++ b/mountgauge/recovery/state_file.py
@@ -1,6 +1,7 @@
 """What lasts beside the journal: facts with a time, an origin and an expiry, judged at the start. No I/O.
 
 A file is lines of `CRC-32 in hex, space, JSON`; a line that does not fit is damaged and costs itself alone.
+One fact says how the clocks stood when the file was written, by which its times are read.
 Nothing remembered counts as fresh: `judged` keeps only what makes the start more careful (a told wait, a
 pace below the listed part, an outage, the newest list version), and says why it dropped the rest.
 """
@@ -16,15 +17,19 @@
 
 import orjson
 
+from mountgauge.core.durable_time import Stamp, rebase
+
 MOST_FACTS = 400  # some 50 KB
 MOST_BYTES = 1 << 16
 ROOM_BYTES = 2 * MOST_BYTES + 4096  # of the state folder, with the spare copy and the identity
-_AHEAD_S = 2.0  # that the wall clock may have been set back between two lives
+_AHEAD_S = 2.0  # that the wall clock may have been set back between two lives, in a file without a clock
+_UNTIL = ("wait", "cold")  # kinds whose value is a time
 
 
 class Fact(NamedTuple):
     """Times are of the wall clock, s. Kinds: wait (value: until when), pace (calls/s of this member), cold
-    (since when), list (version), ended (how the last life ended)."""
+    (since when), list (version), ended (how the last life ended), clock (subject: the boot; value: the
+    monotonic clock)."""
 
     kind: str
     subject: str
@@ -50,6 +55,29 @@
         return found
 
 
+def clock(now: Stamp, origin: str) -> Fact:
+    """How the clocks stand when a file is written as a whole."""
+    return Fact("clock", now.boot, now.monotonic, now.wall, origin, now.wall)
+
+
+def _rebased(facts: list[Fact], now: Stamp) -> list[Fact]:
+    """The facts with their times as the wall clock is now, however it was stepped since."""
+    written = next((fact for fact in facts if fact.kind == "clock"), None)
+    if written is None:
+        return facts
+    saved = Stamp(written.subject, written.at, written.value, written.at)
+    shift, _ = rebase(saved, saved.base, now)
+    return [
+        fact._replace(
+            value=fact.value + shift if fact.kind in _UNTIL else fact.value,
+            at=fact.at + shift,
+            expires=fact.expires + shift,
+        )
+        for fact in facts
+        if fact.kind != "clock"
+    ]
+
+
 def encode(facts: Iterable[Fact]) -> bytes:
     """The facts as their file has them, `MOST_FACTS` at most."""
     lines = []
@@ -80,7 +108,7 @@
     return facts, damaged
 
 
-def judged(content: bytes, now: float, origin: str, known_version: float = -1) -> Judged:
+def judged(content: bytes, now: Stamp, origin: str, known_version: float = -1) -> Judged:
     """What of a file may be heeded by this start of the identity `origin`.
 
     `known_version` is of the list that came with the start: an older one that is remembered says nothing.
@@ -89,12 +117,12 @@
     found = Judged()
     if damaged:
         found.dropped["damaged"] = damaged
-    for fact in facts:
+    for fact in _rebased(facts, now):
         if fact.origin != origin:
             found.dropped["of-another"] += 1
-        elif fact.at > now + _AHEAD_S:
+        elif fact.at > now.base + _AHEAD_S:
             found.dropped["from-the-future"] += 1
-        elif fact.expires <= now:
+        elif fact.expires <= now.base:
             found.dropped["expired"] += 1
         elif fact.kind == "list" and fact.value <= known_version:
             found.dropped["older-than-known"] += 1
--- a/mountgauge/relay/kept_list.py
+++ b/mountgauge/relay/kept_list.py
@@ -1,17 +1,20 @@
 """A sender's last shards in its state folder, for a start at which no relay can be asked.
 
-One file of two lines: when what it holds was the newest for sure (wall time), and an answer as on the wire,
-with a snapshot of each shard. It is replaced as a whole. A file that can't be used is as none.
+One file of two lines: when what it holds was the newest for sure (on both clocks; of an older version the
+wall clock alone), and an answer as on the wire, with a snapshot of each shard. It is replaced as a whole. A
+file that can't be used is as none.
 """
 
 from __future__ import annotations
 
+import math
 import os
 from dataclasses import dataclass
 from pathlib import Path
 
 import orjson
 
+from mountgauge.core.durable_time import Stamp
 from mountgauge.relay import wire
 from mountgauge.sharding.messages import Answer, PlacementNews
 from mountgauge.sharding.shards import ShardSnapshot
@@ -29,14 +32,15 @@
 class KeptList:
     """What a sender held."""
 
-    confirmed_wall: float  # Unix time at which it was discovery's newest for sure
+    confirmed: Stamp  # when it was discovery's newest for sure
     placement: PlacementNews
     snapshots: tuple[ShardSnapshot, ...]
 
 
 def encode(kept: KeptList, shard_count: int) -> bytes:
     """The file's content."""
-    head = {"confirmed": kept.confirmed_wall, "shards": shard_count}
+    boot, wall, monotonic, _ = kept.confirmed
+    head = {"confirmed": wall, "monotonic": monotonic, "boot": boot, "shards": shard_count}
     as_of = max((one.version for one in kept.snapshots), default=-1)
     answer = Answer(as_of, 0.0, snapshots=kept.snapshots, placement=kept.placement)
     return orjson.dumps(head) + b"\n" + wire.encode_reply(answer)[1]
@@ -47,9 +51,11 @@
     head, _, body = content.partition(b"\n")
     try:
         said = orjson.loads(head)
-        confirmed, count = float(said["confirmed"]), int(said["shards"])
+        wall, count = float(said["confirmed"]), int(said["shards"])
+        monotonic = float(said.get("monotonic", math.inf))  # ahead of any clock: the wall clock counts
+        confirmed = Stamp(str(said.get("boot", "")), wall, monotonic, wall)
         answer = wire.decode_reply(wire.STATUS_ANSWER, body, shard_count)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise KeptListError(f"not a list of shards: {' '.join(str(error).split())[:200]}") from None
     if count != shard_count:
         raise KeptListError(f"of {count} shards, the file says {shard_count}")
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -10,13 +10,13 @@
 import asyncio
 import logging
 import math
-import time
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from mountgauge.core.config import Address, ConfigError, MapUpdate
+from mountgauge.core.durable_time import Clocks, SystemClocks, age, read
 from mountgauge.core.ports import NextHop
 from mountgauge.log import kv
 from mountgauge.platform.discovery import MapOwner
@@ -62,9 +62,16 @@
     """The core's map and the scope of what it takes on, over a subscription."""
 
     def __init__(
-        self, owner: MapOwner, settings: SenderSharding, name: str, folder: Path, seed: int | None = None
+        self,
+        owner: MapOwner,
+        settings: SenderSharding,
+        name: str,
+        folder: Path,
+        seed: int | None = None,
+        clocks: Clocks | None = None,
     ) -> None:
         self._owner, self._settings = owner, settings
+        self._clocks = clocks or SystemClocks()
         self._loop = asyncio.get_running_loop()
         rng = Random(seed)
         self.store = ShardStore(settings.shards.count, log_limit=0)
@@ -97,7 +104,7 @@
             return MapUpdate(NOTHING, True, ())
         wanted = {one.shard for one in kept.placement.shards} | set(map(self.shard, destinations))
         snapshots = [one for one in kept.snapshots if one.shard in wanted]
-        age_s = max(0.0, time.time() - kept.confirmed_wall)
+        age_s = age(kept.confirmed, read(self._clocks))
         update = self.subscription.restore(snapshots, kept.placement, self._loop.time() - age_s)
         log.info("kept-list", extra=kv(shards=len(snapshots), epoch=kept.placement.epoch,
                                        staleness_s=round(age_s, 3)))  # fmt: skip
@@ -240,7 +247,7 @@
             return
         snapshots = tuple(self.store.snapshot(shard) for shard in sorted(self.store.shards()))
         try:
-            self._file.write(KeptList(time.time() - age_s, placement, snapshots))
+            self._file.write(KeptList(read(self._clocks).before(age_s), placement, snapshots))
         except (OSError, KeptListError) as error:
             log.warning("list-not-kept", extra=kv(error=error))
 
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -13,6 +13,7 @@
 from mountgauge.connections.front import Front
 from mountgauge.connections.registry import Registry
 from mountgauge.core.config import Address, Config
+from mountgauge.core.durable_time import SystemClocks
 from mountgauge.core.journal import Journal
 from mountgauge.core.ports import End, MapSource, SenderSide
 from mountgauge.core.sender import Sender
@@ -36,7 +37,7 @@
 _TO_SUCCESSOR = 1.5  # s after SIGTERM for clients to be answered, where a newer process takes over
 
 
-class LoopClock:
+class LoopClock(SystemClocks):
     """The event loop's clock, and the wall clock."""
 
     def __init__(self) -> None:
@@ -45,9 +46,6 @@
     def now(self) -> float:
         return self._loop.time()
 
-    def wall(self) -> float:
-        return time.time()
-
     def call_at(self, when: float, then: Callable[[], None]) -> None:
         self._loop.call_at(when, then)
 
@@ -102,9 +100,10 @@
         self.config = config
         self.notices: Notices | LoggedEnds = Notices(notices_at) if notices_at is not None else LoggedEnds()
         self.fronts: dict[str, SenderSide] = {"platform": self.notices}
-        self.journal = Journal(config.state, config.limits.disk_bytes)
+        clock = LoopClock()
+        self.journal = Journal(config.state, config.limits.disk_bytes, clock=clock)
         policy = Policy(config.settings, config.seed)
-        self.sender = Sender(policy, config.names, self.journal, LoopClock(), self.fronts)
+        self.sender = Sender(policy, config.names, self.journal, clock, self.fronts)
         self.listeners: list[tuple[Listener, Address]] = []
         self.subsystems: list[Subsystem] = []
         self.service: Service | None = None  # the console's
--- a/mountgauge/run/handover.py
+++ b/mountgauge/run/handover.py
@@ -33,7 +33,7 @@
     def __init__(self, sender: Sender, journal: Journal, folder: Path, sharing: bool) -> None:
         """`sharing`: a new process can come beside, on the listening socket that the platform keeps."""
         self.sender, self.journal, self.folder, self.sharing = sender, journal, folder, sharing
-        self._seen: dict[Path, tuple[int, int]] = {}
+        self._seen: dict[Path, tuple[int, int, int]] = {}
         self._looks = 0
 
     async def begin(self) -> None:
@@ -80,26 +80,26 @@
         """A wait was told to this process: the one beside it is to heed it too."""
         if not self.journal.others:
             return
-        clock = self.sender.clock
         own = self._waits_path(self.journal.slot)
         spare = own.with_name(own.name + ".new")
         try:
-            spare.write_bytes(shared_waits.encode(self.sender.waits, clock.now(), clock.wall()))
+            spare.write_bytes(shared_waits.encode(self.sender.waits, self.journal.time.stamp()))
             os.replace(spare, own)
         except OSError as error:
             log.warning("waits-not-shared", extra=kv(error=error))
 
     def hear(self) -> None:
-        clock = self.sender.clock
         for path in self.folder.glob("waits*"):
             if path == self._waits_path(self.journal.slot) or path.name.endswith(".new"):
                 continue
             try:
                 stat = path.stat()
-                if self._seen.get(path) == (stat.st_size, stat.st_mtime_ns):
+                version = (stat.st_ino, stat.st_size, stat.st_mtime_ns)
+                if self._seen.get(path) == version:
                     continue
-                self._seen[path] = (stat.st_size, stat.st_mtime_ns)
-                told = shared_waits.decode(path.read_bytes(), clock.now(), clock.wall())
+                content = path.read_bytes()
+                self._seen[path] = version
+                told = shared_waits.decode(content, self.journal.time.stamp())
             except (OSError, ValueError) as error:
                 log.warning("waits-not-read", extra=kv(path=path.name, error=error))
                 continue
--- a/mountgauge/run/recovery.py
+++ b/mountgauge/run/recovery.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
+from mountgauge.core.durable_time import Stamp, read
 from mountgauge.log import kv
 from mountgauge.recovery import bounds
 from mountgauge.recovery import identity as who
@@ -61,11 +62,10 @@
         runtime = self.runtime
         journal = runtime.journal
         had = bool(journal.live or journal.ends)
+        stamp = read(runtime.sender.clock)
         try:
             self.identity, self.found, clean = self.folder.arrive(runtime.config.name, had)
-            remembered = self.folder.remembered(
-                runtime.sender.clock.wall(), self.identity.id, runtime.config.known.version
-            )
+            remembered = self.folder.remembered(stamp, self.identity.id, runtime.config.known.version)
         except OSError as error:
             log.error("folder-not-read", extra=kv(error=error))
             clean, remembered = False, Judged()
@@ -75,15 +75,15 @@
                                   why=who.careful(self.found, clean)))  # fmt: skip
         for why, count in sorted(remembered.dropped.items()):
             log.info("remembered-dropped", extra=kv(why=why, facts=count))
-        self._heed(remembered)
+        self._heed(remembered, stamp)
         runtime.sender.fresh = self.fresh
         runtime.sender.on_list = self._list_came
         self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
 
-    def _heed(self, remembered: Judged) -> None:
+    def _heed(self, remembered: Judged, stamp: Stamp) -> None:
         """What an earlier life knew makes this one more careful, never bolder."""
         sender = self.runtime.sender
-        now, wall = sender.clock.now(), sender.clock.wall()
+        now, wall = stamp.monotonic, stamp.wall
         waits, paces = remembered.of("wait"), remembered.of("pace")
         for subject in sorted({*waits, *paces}):
             if not subject.isdecimal():
@@ -208,10 +208,10 @@
             self._failed = True
         return True
 
-    def facts(self) -> list[Fact]:
+    def facts(self, stamp: Stamp) -> list[Fact]:
         """What is worth knowing at the next start."""
         sender = self.runtime.sender
-        now, wall, policy = sender.clock.now(), sender.clock.wall(), sender.policy
+        now, wall, policy = stamp.monotonic, stamp.wall, sender.policy
         rules, origin = sender.rules, self.identity.id
         lasts = wall + bounds.remembered(max(grade.deadline for grade in rules.grades), rules.cold)
         found = [Fact("list", "", sender.version, wall, origin, wall + 86_400)] if sender.version >= 0 else []
@@ -228,7 +228,8 @@
         if self.runtime.journal.slot:
             return  # the older process beside this one writes it
         try:
-            self.folder.remember(self.facts())
+            stamp = read(self.runtime.sender.clock)
+            self.folder.remember(self.facts(stamp), stamp, self.identity.id)
         except OSError as error:
             log.warning("not-remembered", extra=kv(error=error))
 
--- a/tests/crossings/test_restart.py
+++ b/tests/crossings/test_restart.py
@@ -130,10 +130,7 @@
         (call,) = bench.calls
         bench.sender.admit(call, call.items)
         bench.journal.close()
-        again = Bench(folder)
-        again.time = 7.0  # another boot's clock
-        began = bench.time + 1_000_000 + down
-        again.wall = lambda began=began, again=again: began + again.time - 7.0  # type: ignore[misc,method-assign]
+        again = Bench(folder, time=7.0, ahead=bench.wall() + down - 7.0, boot="two")
         again.sender.start(again.hops(Readiness.READY))
         again.pass_time(0.05)
         assert len(again.calls) == calls
@@ -233,7 +230,7 @@
 def test_what_the_old_one_gave_up_and_did_not_tell_is_told_and_not_tried_again(tmp_path: Path) -> None:
     """Its notice crossed the process's end: the new one owes the same end, and no other."""
     bench = Bench(tmp_path)  # the new process, beside the old one
-    old = Journal(tmp_path, 300_000)
+    old = Journal(tmp_path, 300_000, clock=bench)
     now = bench.wall()
     for name in ("given-up", "untried"):
         old.take(Stored(name, "safe", now + 9, 7, "k", "platform", b"x"))
--- a/tests/recovery/test_pure.py
+++ b/tests/recovery/test_pure.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mountgauge.core.durable_time import Stamp
 from mountgauge.core.journal import Journal, Stored
 from mountgauge.recovery import bounds
 from mountgauge.recovery.files import Folder
@@ -20,6 +21,7 @@
 from mountgauge.recovery.table import all_full, lines, row
 
 LIFE = "a" * 16
+NOW = Stamp("", 105.0, 5.0, 105.0)
 
 
 def walk(phases: Phases, *seen: Seen) -> list[tuple[str, str]]:
@@ -104,19 +106,19 @@
     ],
 )  # fmt: skip
 def test_what_says_nothing_any_more_is_dropped_by_its_name(one: Fact, why: str) -> None:
-    found = judged(encode_facts([one, fact()]), 105.0, LIFE, known_version=41)
+    found = judged(encode_facts([one, fact()]), NOW, LIFE, known_version=41)
     assert found.dropped == {why: 1} and found.kept == [fact()]
 
 
 def test_a_record_that_is_cut_or_flipped_at_any_place_costs_itself_alone() -> None:
     content = encode_facts([fact(), fact("pace", value=0.5), fact("wait", value=111)])
     for place in range(len(content)):
-        cut = judged(content[:place], 105.0, LIFE)
+        cut = judged(content[:place], NOW, LIFE)
         assert len(cut.kept) == content[:place].count(b"\n") + (content[place : place + 1] == b"\n")
         flipped = content[:place] + bytes([content[place] ^ 4]) + content[place + 1 :]
-        assert len(judged(flipped, 105.0, LIFE).kept) >= 1
-    assert judged(content, 105.0, LIFE).of("wait")["7"].value == 111
-    assert judged(b"\xff" * 100_000, 105.0, LIFE).kept == []
+        assert len(judged(flipped, NOW, LIFE).kept) >= 1
+    assert judged(content, NOW, LIFE).of("wait")["7"].value == 111
+    assert judged(b"\xff" * 100_000, NOW, LIFE).kept == []
 
 
 # Who this is
@@ -148,8 +150,8 @@
     assert decode((tmp_path / "identity").read_bytes()) == two
     folder.ended(two)
     assert Folder(tmp_path).arrive("m1", True)[2]
-    assert folder.remember([fact()]) and not folder.remember([fact()])
-    assert folder.remembered(105.0, LIFE, -1).kept == [fact()]
+    assert folder.remember([fact()], NOW, LIFE) and not folder.remember([fact()], NOW, LIFE)
+    assert folder.remembered(NOW, LIFE, -1).kept == [fact()]
     (tmp_path / "identity").unlink()
     assert not folder.stands(two)
 
--- a/tests/sharding/test_shard_map.py
+++ b/tests/sharding/test_shard_map.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from pathlib import Path
 
 import pytest
 
 from mountgauge.core.config import Address, MapUpdate
+from mountgauge.core.durable_time import SystemClocks, read
 from mountgauge.relay.kept_list import MAX_BYTES, KeptList, KeptListError, KeptListFile
 from mountgauge.relay.settings import RelayPlace, Relays, SenderSharding, Shards
 from mountgauge.relay.shard_map import ShardMap
@@ -103,7 +103,8 @@
     )
     shard = shard_of(7, SHARDS)
     snapshot = ShardSnapshot(shard, 41, found, digest_of(found))
-    return KeptList(time.time() - 30, PlacementNews(3, 1, (PlacedShard(shard, ("s1",)),)), (snapshot,))
+    confirmed = read(SystemClocks()).before(30)
+    return KeptList(confirmed, PlacementNews(3, 1, (PlacedShard(shard, ("s1",)),)), (snapshot,))
 
 
 def test_a_kept_list_is_used_with_its_age_and_one_too_large_is_not_written(tmp_path: Path) -> None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -164,18 +164,21 @@
 
 
 def test_waits_in_the_shared_form() -> None:
+    from mountgauge.core.durable_time import Stamp
     from mountgauge.core.shared_waits import decode, encode, merge
 
     waits: dict[object, float] = {3: 12.0, "s-1": 10.5, 4: 9.0}  # 4 is over
-    content = encode(waits, now=10.0, wall=1000.0)
-    heard = decode(content, now=50.0, wall=1000.2)  # another process, another loop clock
+    content = encode(waits, Stamp("", 1000.0, 10.0, 1000.0))
+    heard = decode(content, Stamp("", 1000.2, 50.0, 1000.2))  # another process, another loop clock
     assert heard == {3: pytest.approx(51.8), "s-1": pytest.approx(50.3)}
     into: dict[object, float] = {3: 60.0}
     assert merge(into, heard) and into == {3: 60.0, "s-1": pytest.approx(50.3)}
     assert not merge(into, heard)
-    for bad in (b"[]", b'{"x1": 3}', b'{"d1": "soon"}'):
+    clock = b'"clock": ["", 0, 0, 0]'
+    for bad in (b"[]", b'{"x1": 3}', b'{"d1": "soon"}', b"{%b}" % clock, b'{%b, "waits": [1]}' % clock,
+                b'{"clock": [], "waits": {}}', b'{%b, "waits": {"d1": "soon"}}' % clock):  # fmt: skip
         with pytest.raises(ValueError):
-            decode(bad, 0.0, 0.0)
+            decode(bad, Stamp("", 0.0, 0.0, 0.0))
 
 
 def test_a_wait_told_to_the_old_process_binds_the_new_one(tmp_path: Path) -> None:
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -14,16 +14,25 @@
 from mountgauge.core.sender import Sender
 from rillspindle import Policy
 from rillspindle.interface import Entry, Issue, Outcome, Readiness, Remembered, Response
+from tests.clocks import SteppedClocks
 from tests.settings import grade, settings
 
 NAMES = Names(("safe", "keyed", "once"), ("near", "far"), ("one", "many"))
 
 
-class Bench:
+class Bench(SteppedClocks):
     """The core's ports, and time that only moves when told to."""
 
-    def __init__(self, folder: Path, disk: int = 1_000_000, **extra: Any) -> None:
-        self.time = 100.0
+    def __init__(
+        self,
+        folder: Path,
+        disk: int = 1_000_000,
+        time: float = 100.0,
+        ahead: float = 1_000_000.0,
+        boot: str = "one",
+        **extra: Any,
+    ) -> None:
+        super().__init__(time, ahead, boot)
         self.timers: list[tuple[float, Callable[[], None]]] = []
         self.calls: list[Call] = []
         self.ends: dict[str, End] = {}
@@ -33,16 +42,10 @@
         env = settings(
             grades=[grade(), grade("deduplicated"), grade("at_most_once")], discovery="subscribe", **extra
         )
-        self.journal = Journal(folder, disk)
+        self.journal = Journal(folder, disk, clock=self)
         self.sender = Sender(Policy(env, 1), NAMES, self.journal, self, {"platform": self})
         self.sender.next_hops = self.sender.map = self
 
-    def now(self) -> float:
-        return self.time
-
-    def wall(self) -> float:
-        return self.time + 1_000_000
-
     def call_at(self, when: float, then: Callable[[], None]) -> None:
         self.timers.append((when, then))
 
@@ -302,9 +305,7 @@
     if not ran:
         bench.sender.finished(call, {call.items[0].number: Result(Outcome.CONNECT_FAILED)})
     bench.journal.close()
-    again = Bench(tmp_path)
-    again.time = 50.0  # another boot's clock; the wall's is what lasts
-    again.wall = lambda: again.time + 1_000_052  # type: ignore[method-assign]
+    again = Bench(tmp_path, time=50.0, ahead=1_000_052.0, boot="two")  # the wall's clock is what lasts
     again.sender.start(again.hops(Readiness.READY))
     again.pass_time(0.03)
     assert len(bench.calls) + len(again.calls) == calls
@@ -323,8 +324,7 @@
     if left > 1:
         bench.sender._give_up(bench.sender.held[bench.sender.numbers["a"]], End(Status.DEFERRED, 70))
     bench.journal.close()
-    again = Bench(tmp_path)
-    again.time = 101.0
+    again = Bench(tmp_path, time=101.0)
     again.sender.start(again.hops(Readiness.READY))
     again.pass_time(0.02)
     assert not again.calls and set(again.ends) == {"a"}
