Outlast a disk that fails for a while: keep ends, hold calls, adopt and start later

`_note` kept an end that could not be written in memory alone until a compaction, so a delivered message was live after a restart. `adopt`: a failed `unlink` came after the append and before the messages were handed on, so the core never got them; a failed read ended the looking task; an older copy that was left took the place of a newer record and its attempts (0 of 1 known). `_compact`: a failed removal of the spare left the turn as OSError. `RecoverySubsystem` wrote zeros over an identity that it could not read.

Change: `core/files.py` is the one seam for calls to the file system. What could not be written is written in front of the next record, or within 50 ms of the disk's return; calls are parked meanwhile. A part of a record is cut off before anything is appended, also by a later start. An adopted file that cannot be removed keeps its lock, and copies of one message are merged. A start waits for its folder and heeds SIGTERM.

--- a/benchmarks/slopes/journal.py
+++ b/benchmarks/slopes/journal.py
@@ -23,7 +23,7 @@
     """A journal with so many live messages, as a process that was killed leaves it."""
     journal = Journal(folder, DISK_BYTES)
     records = b"".join(stored(number, 0, _BODY_BYTES, _EXPIRES).record() for number in range(count))
-    journal._write_all(journal._file, records)
+    journal._write(records)
     journal.close()
 
 
--- a/mountgauge/console/service.py
+++ b/mountgauge/console/service.py
@@ -12,6 +12,7 @@
 from mountgauge.connections.registry import Registry
 from mountgauge.console.calls import Call, Kind, Reply
 from mountgauge.console.duty import LameDuck, detached_read, detached_text
+from mountgauge.core.files import Files, SystemFiles
 from mountgauge.core.sender import Sender
 from mountgauge.log import kv
 
@@ -30,7 +31,9 @@
         registry: Registry,
         folder: Path,
         ready: Callable[[], bool],
+        files: Files | None = None,
     ) -> None:
+        self._files = files or SystemFiles()
         self.sender, self.front, self.registry, self.ready = sender, front, registry, ready
         self.path = folder / "detached"
         self._own = folder / f"detached.{os.getpid()}"
@@ -41,16 +44,18 @@
     # The detached endpoints, kept in the state folder for the process that comes next
 
     def look(self) -> None:
-        """Read the file again where another process of this sender has changed it."""
+        """Read the file again where another process of this sender has changed it. While that fails, what is
+        known holds.
+        """
         try:
             stat = self.path.stat()
+            seen = (stat.st_size, stat.st_mtime_ns)
+            content = b"" if seen == self._seen else self._files.read(self.path)
         except FileNotFoundError:
             seen, content = (0, 0), b""
-        else:
-            seen = (stat.st_size, stat.st_mtime_ns)
-            if seen == self._seen:
-                return
-            content = self.path.read_bytes()
+        except OSError as error:
+            log.warning("detached-not-read", extra=kv(error=error))
+            return
         if seen == self._seen:
             return
         self._seen = seen
--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -54,7 +54,9 @@
         self.call_gate: CallGate | None = None  # fleet-wide budgets
         self.on_wait: Callable[[], None] | None = None  # a wait was told: another process may need it
         self.out = 0  # slots taken
-        self.parked: list[Call] = []  # until what is known is fresh, and a budget has a place
+        self.parked: list[
+            Call
+        ] = []  # until what is known is fresh, the journal writes, and a budget has a place
         self.stopped = False  # nothing new is sent, what is late is left to the journal
 
     def issue(self, action: io.Issue, now: float, calls: CallBatches) -> None:
@@ -91,13 +93,15 @@
 
     def _go(self, call: Call) -> None:
         stale = self.fresh is not None and not self.fresh()
-        if stale or (self.call_gate is not None and not self.call_gate.start(call)):
+        if self._journal.failing or stale or (self.call_gate is not None and not self.call_gate.start(call)):
             self.parked.append(call)
         else:
             self.next_hops.start(call)
 
     def release(self) -> None:
-        """What was to be looked at before the next first byte has been: parked calls go if they may."""
+        """What was to be looked at before the next first byte has been, or the journal takes records again:
+        parked calls go if they may.
+        """
         parked, self.parked = self.parked, []
         for call in parked:
             if call.give_up_at > self._clock.now():
--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -1,41 +1,30 @@
 """The lasting log: what was taken on, attempted and ended, in one checksummed file that is only appended to.
 
-A record is its payload's length and CRC-32, then the payload: one letter, one JSON value and, behind a
-line feed, the message's body. Data outlasts the process once `write()` has returned, so nothing is synced.
+Data outlasts the process once `write()` has returned, so nothing is synced.
 
-Times are in the base of the process that wrote them. A record `C` says how that base stood to its clocks,
-before the first record of a process and then once a second at most, before another record.
+The disk may fail for a while. A take-on or an attempt that cannot be written is not made. An end, a notice or
+a mark that an attempt never ran is kept, and written in front of the next record. Part of a record at the end
+of the file is cut off before anything is appended, so that it never stands in front of another.
 """
 
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import math
 import os
-import struct
-import zlib
-from collections import OrderedDict
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
-import orjson
-
-from mountgauge.core.durable_time import (
-    LONG_AGO,
-    STAMP_EVERY_S,
-    Basis,
-    Clocks,
-    ProcessTime,
-    Stamp,
-    SystemClocks,
-    rebase,
-)
-from mountgauge.core.ports import End, Status
-
-_HEAD = struct.Struct("<II")
+from mountgauge.core.durable_time import STAMP_EVERY_S, Clocks, ProcessTime, Stamp, SystemClocks
+from mountgauge.core.files import APPENDED, MADE_ANEW, Files, SystemFiles, write_all
+from mountgauge.core.journal_records import Contents, Stored, end_records, record
+from mountgauge.core.ports import End
+
+__all__ = ["Journal", "JournalFullError", "JournalUnavailableError", "Stored"]
+
 _MOST_RECORD = 1 << 20
 _BLOCK = 512  # each file counts in whole blocks
 _RESERVE = 64 * 1024  # kept free of take-ons, so that attempts and ends still find room
@@ -43,58 +32,15 @@
 _SLACK = 256 * 1024  # dead bytes that are not worth a compaction
 _RECENT = 2000  # ends remembered, for ids that are handed in again
 _SLOTS = 4  # processes that may share one folder: the old and the new one of a hand-over, and spare
+_COMPACT_AGAIN_S = 1.0  # after a compaction that the disk did not let through
 
 
 class JournalFullError(Exception):
     """No room, or the write failed: nothing of this record is in the file."""
 
 
-@dataclass(slots=True, eq=False)
-class Stored:
-    """A message that was taken on and has not ended. Times are in the base of this process."""
-
-    id: str
-    grade: str
-    expires: float
-    dest: int
-    key: str
-    front: str
-    body: bytes
-    attempts: int = 0
-    ran: list[tuple[float, int]] = field(default_factory=list)  # when and in which zone it may have run
-    notice: End | None = None  # given up, but not yet told
-
-    def record(self) -> bytes:
-        notice = [self.notice.status, self.notice.again_ms] if self.notice else None
-        head = [
-            self.id,
-            self.grade,
-            self.expires,
-            self.dest,
-            self.key,
-            self.front,
-            self.attempts,
-            self.ran,
-            notice,
-        ]
-        return _record(b"T", head, self.body)
-
-
-@dataclass(slots=True)
-class _Loading:
-    """What is known of time while a file is read."""
-
-    stamp: Stamp | None = None  # the last one
-    newest: float = -math.inf  # time on record that has passed, in the base of the stamp
-    ids: set[str] = field(default_factory=set)  # messages that this file takes on
-
-    def passed(self, time: float) -> None:
-        self.newest = max(self.newest, time)
-
-
-def _record(kind: bytes, head: object, body: bytes | None = None) -> bytes:
-    payload = kind + orjson.dumps(head) + (b"" if body is None else b"\n" + body)
-    return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+class JournalUnavailableError(OSError):
+    """The folder cannot be read or written: what is owed is not known, and nothing is held."""
 
 
 def _paths(folder: Path, slot: int) -> tuple[Path, Path]:
@@ -106,14 +52,16 @@
     return folder / ("lock" if slot == 0 else f"lock.{slot}")
 
 
-def _lock(folder: Path, slot: int) -> int | None:
+def _lock(files: Files, folder: Path, slot: int) -> int | None:
     """The slot's lock, held, or None where another process holds it."""
-    lock = os.open(_lock_path(folder, slot), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    lock = files.open(_lock_path(folder, slot), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC)
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
+    except OSError as error:
         os.close(lock)
-        return None
+        if isinstance(error, BlockingIOError):
+            return None
+        raise
     return lock
 
 
@@ -133,34 +81,94 @@
     """One process's journal: a slot of the folder, held by a lock; free slots of others are adopted."""
 
     def __init__(
-        self, folder: Path, disk_bytes: int, slots: int = _SLOTS, clock: Clocks | None = None
+        self,
+        folder: Path,
+        disk_bytes: int,
+        slots: int = _SLOTS,
+        clock: Clocks | None = None,
+        files: Files | None = None,
     ) -> None:
-        self.folder, self.live, self.ends = folder, dict[str, Stored](), OrderedDict[str, End]()
-        self.cut = 0  # bytes of a torn tail that were cut at the start
+        """JournalUnavailableError where the system fails; OSError where other processes hold all slots."""
+        self.folder, self._files = folder, files or SystemFiles()
+        self.cut = 0  # bytes at the ends of files that were no whole records
         self.time = ProcessTime(clock or SystemClocks())
         self._opened = self.time.stamp()  # by which what is found in the folder is read
         self._stamped: Stamp | None = None  # the last one in the file that is of this process
         self._most = disk_bytes
-        self._live_bytes = 0
         self._slots = slots
-        for slot in range(slots):
-            lock = _lock(folder, slot)
-            if lock is not None:
-                break
-        else:  # every slot is held by a living process: a third one on the folder would overlap them
-            raise OSError(f"{folder}: in use by another process")
-        self.slot, self._lock = slot, lock
-        self.path, self._spare = _paths(folder, slot)
-        self._spare.unlink(missing_ok=True)  # a compaction that the last process did not finish
-        self._file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self.failing = False  # the disk did not take the last record
+        self.on_failing: Callable[[], None] | None = None  # told that `flush` is to be called later
+        self._unwritten: list[bytes] = []  # records that are to be in the file before any later one
+        self._torn = False  # the file may end in part of a record
+        self._compact_from = -math.inf  # the earliest time for a compaction
         self._compacted = 0  # size at the last compaction
-        self._size = self._load(self.path, self._file)
-        self.others: list[Path] = []  # journals of other processes, still held by them
+        try:
+            found = self._free_slot()
+            if found is not None:
+                self.slot, self._lock = found
+                self._open()
+        except OSError as error:
+            raise JournalUnavailableError(error.errno, error.strerror, str(folder)) from error
+        if found is None:  # every slot is held by a living process: a third one would overlap them
+            raise OSError(f"{folder}: in use by another process")
+        self.others: list[Path] = []  # journals of other processes that are not adopted yet
+        self.beside: list[Path] = []  # those of them whose processes run
+        self._adopted: dict[int, int] = {}  # locks of slots that were, whose files are still to be removed
         self.adopt()
 
+    def _free_slot(self) -> tuple[int, int] | None:
+        """The first slot that no process holds, and its lock; None where there is none."""
+        for slot in range(self._slots):
+            if (lock := _lock(self._files, self.folder, slot)) is not None:
+                return slot, lock
+        return None
+
+    def _open(self) -> None:
+        self.path, self._spare = _paths(self.folder, self.slot)
+        self._discard(self._spare)  # a compaction that the last process did not finish
+        try:
+            self._file = self._files.open(self.path, APPENDED)
+            try:
+                content = self._files.read(self.path)
+            except OSError:
+                self._close(self._file)
+                raise
+        except OSError:
+            self._close(self._lock)
+            raise
+        found, self.cut = self._read(content, self._opened)
+        self._contents = found
+        self.live, self.ends = found.live, found.ends
+        self._live_bytes = sum(map(self._cost, self.live.values()))
+        # A process killed in a write leaves a torn tail. All before it was complete, so only it goes.
+        self._size = len(content) - self.cut
+        self._torn = self.cut > 0
+        with contextlib.suppress(OSError):  # or before the first record that is appended
+            self._cut_off()
+
+    def _read(self, content: bytes, now: Stamp) -> tuple[Contents, int]:
+        """What a file says, and how many bytes of it are no whole records."""
+        found = Contents(min(_RECENT, self._most // 1024))
+        cut = len(content) - found.read(content)
+        found.rebase(now)
+        return found, cut
+
     def close(self) -> None:
-        os.close(self._file)
-        os.close(self._lock)
+        """Nothing is written from now on; what the disk does not take now is lost."""
+        self.flush()
+        self._unwritten, self.failing, self.on_failing = [], False, None
+        self._close(self._file)
+        for lock in (self._lock, *self._adopted.values()):
+            self._close(lock)
+
+    def _close(self, file: int) -> None:
+        with contextlib.suppress(OSError):  # closed all the same
+            self._files.close(file)
+
+    def _discard(self, path: Path) -> None:
+        """A file that is of no use; where it cannot be removed now, it is written over or removed later."""
+        with contextlib.suppress(OSError):
+            self._files.unlink(path)
 
     def standing(self) -> bool:
         """Whether the folder still holds this journal and its lock, and not others in their place."""
@@ -175,7 +183,7 @@
         if _same(_lock_path(self.folder, self.slot), self._lock):  # the journal alone has gone
             self._rewrite(self._content())
             return True
-        if (lock := _lock(self.folder, self.slot)) is None:
+        if (lock := _lock(self._files, self.folder, self.slot)) is None:
             return False
         try:
             self._rewrite(self._content())
@@ -190,148 +198,105 @@
         """This content is the journal from now on; OSError where it could not be written, and nothing
         changed.
         """
-        file = os.open(self._spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        file = self._files.open(self._spare, MADE_ANEW)
         try:
-            self._write_all(file, content)
-            os.replace(self._spare, self.path)
+            write_all(self._files, file, content)
+            self._files.replace(self._spare, self.path)
         except OSError:
-            os.close(file)
+            self._close(file)
             raise
-        os.close(self._file)
+        self._close(self._file)
         self._file, self._size = file, len(content)
+        self._unwritten, self._torn, self.failing = [], False, False
 
     def _content(self) -> bytes:
-        records = [_record(b"C", list(self.time.stamp()))]
-        records += [_record(b"E", [i, e.status, e.again_ms]) for i, e in self.ends.items()]
-        records += [stored.record() for stored in self.live.values()]
-        return b"".join(records)
+        clocks = record(b"C", list(self.time.stamp()))
+        live = [stored.record() for stored in self.live.values()]
+        return b"".join([clocks, *end_records(self.ends.items()), *live])
+
+    # Other slots
 
     def adopt(self) -> list[Stored]:
         """Take over the journal of each slot whose process has gone: what is live there is this one's now.
 
         Its records are appended here in one write before its file goes, so that a crash in between leaves
-        them twice, never nowhere; read twice, a take-on replaces its copy and an ended id stays ended. Where
-        they cannot be written, it is as if that slot had not been looked at: its turn comes later.
+        them twice, never nowhere; read twice, the copies are one message and an ended id stays ended. Where
+        it cannot be read or written, it is as if that slot had not been looked at: its turn comes later.
         """
-        self.others, adopted = [], list[Stored]()
+        self.others, self.beside = [], []
+        adopted: list[Stored] = []
         for slot in range(self._slots):
-            path, spare = _paths(self.folder, slot)
-            if slot == self.slot or not path.exists():
-                continue
-            if (lock := _lock(self.folder, slot)) is None:
-                self.others.append(path)
+            if slot == self.slot:
                 continue
             try:
-                before, ends = set(self.live), self.ends.copy()
-                self._load(path, None)
-                fresh = [stored for i, stored in self.live.items() if i not in before]
-                told = [(i, end) for i, end in self.ends.items() if ends.get(i) is not end]
-                records = [_record(b"E", [i, e.status, e.again_ms]) for i, e in told]
-                records += [stored.record() for stored in fresh]
-                stamps = [*([] if self._stamped else [self._opened]), self.time.stamp()]
-                content = b"".join([*(_record(b"C", list(stamp)) for stamp in stamps), *records])
-                try:
-                    self._write_all(self._file, content)
-                except OSError:  # half a record would cut off all that is appended behind it
-                    os.ftruncate(self._file, self._size)
-                    for stored in fresh:
-                        del self.live[stored.id]
-                        self._live_bytes -= self._cost(stored)
-                    self.ends = ends
-                    self.others.append(path)
-                    continue
-                self._size, self._stamped = self._size + len(content), stamps[-1]
-                path.unlink()
-                spare.unlink(missing_ok=True)
-                adopted += fresh
-            finally:
-                os.close(lock)
+                adopted += self._adopt(slot)
+            except OSError:
+                self.others.append(_paths(self.folder, slot)[0])
         return adopted
 
-    # Reading
-
-    def _load(self, path: Path, file: int | None) -> int:
-        content, loading = path.read_bytes(), _Loading()
-        at = 0
-        while at + _HEAD.size <= len(content):
-            size, check = _HEAD.unpack_from(content, at)
-            payload = content[at + _HEAD.size : at + _HEAD.size + size]
-            if len(payload) < size or zlib.crc32(payload) != check or not self._replay(payload, loading):
-                break
-            at += _HEAD.size + size
-        # A process killed in a write leaves a torn tail. All before it was complete, so only it goes.
-        if at < len(content):
-            self.cut += len(content) - at
-            if file is not None:  # an adopted file goes whole once read
-                os.ftruncate(file, at)
-        self._rebase(loading, self.time.stamp())
-        return at
-
-    def _replay(self, payload: bytes, loading: _Loading) -> bool:
-        kind = payload[:1]
+    def _adopt(self, slot: int) -> list[Stored]:
+        path, spare = _paths(self.folder, slot)
+        fresh: list[Stored] = []
+        if slot not in self._adopted:
+            if not path.exists():
+                return []
+            if (lock := _lock(self._files, self.folder, slot)) is None:
+                self.others.append(path)
+                self.beside.append(path)
+                return []
+            try:
+                self._try_to_write()
+                fresh = self._take_over(self._files.read(path))
+                self._adopted[slot] = lock
+            finally:
+                if slot not in self._adopted:
+                    os.close(lock)
         try:
-            text, _, body = payload[1:].partition(b"\n")
-            head = orjson.loads(text)
-            if kind == b"C":
-                boot, wall, monotonic, base = head
-                self._rebase(loading, Stamp(str(boot), float(wall), float(monotonic), float(base)))
-                return True
-            self._apply(kind, head, body)
-            if kind == b"T":
-                loading.ids.add(head[0])
-                for at, _ in head[7]:
-                    loading.passed(at)
-            elif kind == b"A":
-                loading.passed(float(head[1]))
-        except (ValueError, TypeError, IndexError):
-            return False
-        return True
-
-    def _rebase(self, loading: _Loading, stamp: Stamp) -> None:
-        """What was read so far has its times in the base of this stamp from now on."""
-        shift, basis = rebase(loading.stamp, loading.newest, stamp)
-        loading.stamp = stamp
-        if shift or basis is Basis.SET_BACK:
-            for stored in filter(None, map(self.live.get, loading.ids)):
-                stored.expires += shift
-                set_back = basis is Basis.SET_BACK
-                stored.ran = [(LONG_AGO if set_back else at + shift, zone) for at, zone in stored.ran]
-            loading.newest += shift
-        loading.passed(stamp.base)
-
-    def _apply(self, kind: bytes, head: list[Any], body: bytes) -> None:
-        if kind == b"T":
-            msg_id, grade, expires, dest, key, front, attempts, ran, notice = head
-            if msg_id in self.ends:  # an older copy, from a journal adopted twice
-                return
-            told = End(Status(notice[0]), notice[1]) if notice else None
-            times = [(float(at), int(zone)) for at, zone in ran]
-            self._add(Stored(msg_id, grade, expires, dest, key, front, body, attempts, times, told))
-            return
-        stored = self.live.get(head[0])
-        if kind == b"E":
-            self._forget(head[0], End(Status(head[1]), head[2]))
-        elif stored is None:
-            return
-        elif kind == b"A":
-            stored.attempts += 1
-            stored.ran.append((float(head[1]), int(head[2])))
-        elif kind == b"O" and stored.ran:
-            stored.ran.pop()
-        elif kind == b"N":
-            stored.notice = End(Status(head[1]), head[2])
+            self._files.unlink(path)
+            self._files.unlink(spare)
+        except OSError:  # it is an older copy by now: nobody may take it for its own until it has gone
+            self.others.append(path)
+        else:
+            self._close(self._adopted.pop(slot))
+        return fresh
+
+    def _try_to_write(self) -> None:
+        """OSError where the disk still takes no records: another journal would be read in vain."""
+        if self.failing:
+            self.flush()
+        if self.failing:
+            raise OSError(errno.EIO, "no records are taken")
+
+    def _take_over(self, content: bytes) -> list[Stored]:
+        """Write down what another journal holds, then hold it; the messages that are new here. OSError where
+        it cannot be written, and nothing changed.
+        """
+        theirs, cut = self._read(content, self.time.stamp())
+        told = {i: end for i, end in theirs.ends.items() if i not in self.ends}
+        copies = [one for i, one in theirs.live.items() if i not in self.ends]
+        self._write(b"".join([*end_records(told.items()), *(stored.record() for stored in copies)]))
+        self.cut += cut
+        for msg_id, end in told.items():
+            self._forget(msg_id, end)
+        fresh = []
+        for stored in copies:
+            if stored.id in self.live:
+                self.live[stored.id].merge(stored)
+            else:
+                self._add(stored)
+                fresh.append(stored)
+        return fresh
+
+    # What is live
 
     def _add(self, stored: Stored) -> None:
-        if stored.id not in self.live:
-            self._live_bytes += self._cost(stored)
         self.live[stored.id] = stored
+        self._live_bytes += self._cost(stored)
 
     def _forget(self, msg_id: str, end: End) -> None:
-        if (stored := self.live.pop(msg_id, None)) is not None:
+        if (stored := self.live.get(msg_id)) is not None:
             self._live_bytes -= self._cost(stored)
-        self.ends[msg_id] = end
-        while len(self.ends) > min(_RECENT, self._most // 1024):
-            self.ends.popitem(last=False)
+        self._contents.forget(msg_id, end)
 
     @staticmethod
     def _cost(stored: Stored) -> int:
@@ -367,6 +332,8 @@
     def _compact(self) -> None:
         if self._size < self._compacted + max(4096, self._compacted // 8):
             return  # nearly all of it is live: writing it anew each time would make no room
+        if self.time.now() < self._compact_from:
+            return
         content = self._content()
         both = _blocks(self._size) + _blocks(len(content)) + self._others_bytes()
         if len(content) >= self._size or both > self._most:
@@ -374,44 +341,70 @@
         try:
             self._rewrite(content)
         except OSError:  # the old file still holds everything
-            self._spare.unlink(missing_ok=True)
+            self._discard(self._spare)
+            self._compact_from = self.time.now() + _COMPACT_AGAIN_S
             return
         self._compacted = self._size
 
     # Writing
 
-    @staticmethod
-    def _write_all(file: int, content: bytes) -> None:
-        view = memoryview(content)
-        while view:
-            view = view[os.write(file, view) :]
+    def _cut_off(self) -> None:
+        if self._torn:
+            self._files.truncate(self._file, self._size)
+            self._torn = False
 
-    def _append(self, content: bytes, reserve: int) -> None:
+    def _write(self, content: bytes) -> None:
+        """Append this, behind all that is still to be written; OSError where nothing of it counts."""
         stamps = self._stamps_due()
-        content = b"".join([*(_record(b"C", list(stamp)) for stamp in stamps), content])
-        if not self._fits(len(content), reserve):
-            raise JournalFullError(f"{self._size} of {self._most} bytes in use")
+        if stamps or self._unwritten:
+            content = b"".join([*(record(b"C", list(one)) for one in stamps), *self._unwritten, content])
         try:
-            self._write_all(self._file, content)
-        except OSError as error:
-            # A short write on a full disk would leave half a record in front of all later ones.
-            os.ftruncate(self._file, self._size)
-            raise JournalFullError(str(error)) from error
+            self._cut_off()
+            self._torn = True
+            write_all(self._files, self._file, content)
+        except OSError:
+            with contextlib.suppress(OSError):  # or before the next record
+                self._cut_off()
+            self.failing = True
+            self._ask()
+            raise
+        self._torn = False
         self._size += len(content)
+        self._unwritten, self.failing = [], False
         if stamps:
             self._stamped = stamps[-1]
 
+    def _append(self, content: bytes, reserve: int) -> None:
+        if not self._fits(len(content) + sum(map(len, self._unwritten)), reserve):
+            raise JournalFullError(f"{self._size} of {self._most} bytes in use")
+        try:
+            self._write(content)
+        except OSError as error:
+            raise JournalFullError(str(error)) from error
+
     def _stamps_due(self) -> list[Stamp]:
         """How the clocks stand, where the file does not say it of a moment ago; before it how they stood when
         what is before it in the file was read, so that the next process reads that as this one did.
         """
         last = self._stamped or self._opened
         stamps = [] if self._stamped is not None else [self._opened]
-        if self.time.now() - last.base >= STAMP_EVERY_S:
+        if self.failing or self.time.now() - last.base >= STAMP_EVERY_S:  # or to see whether it is written
             stamps.append(self.time.stamp())
         return stamps
 
+    def _ask(self) -> None:
+        if self.on_failing is not None:
+            self.on_failing()
+
+    def flush(self) -> bool:
+        """Write what could not be written before; whether nothing is left, and the disk takes records."""
+        if self._unwritten or self.failing:
+            with contextlib.suppress(JournalFullError):
+                self._append(b"", 0)
+        return not self._unwritten and not self.failing
+
     def take(self, stored: Stored) -> None:
+        """A message is taken on; JournalFullError where it is not."""
         content = stored.record()
         if len(content) > _MOST_RECORD:
             raise JournalFullError("the message is too large")
@@ -419,26 +412,37 @@
         self._add(stored)
 
     def attempt(self, msg_ids: Iterable[str], at: float, zone: int) -> None:
-        """Before the first byte: from here on, at this time, each of these may have run."""
+        """Before the first byte: from here on, at this time, each of these may have run. JournalFullError
+        where none of them may be sent.
+        """
         msg_ids = [i for i in msg_ids if i in self.live]
-        self._append(b"".join(_record(b"A", [i, at, zone]) for i in msg_ids), 0)
+        self._append(b"".join(record(b"A", [i, at, zone]) for i in msg_ids), 0)
         for i in msg_ids:
-            self._apply(b"A", [i, at, zone], b"")
+            self._contents.apply(b"A", [i, at, zone])
 
     def _note(self, kind: bytes, head: list[Any]) -> bool:
+        content = record(kind, head)
         try:
-            self._append(_record(kind, head), 0)
+            self._append(content, 0)
         except JournalFullError:
-            return False
-        finally:
-            self._apply(kind, head, b"")  # a later compaction writes it down
-        return True
+            self._unwritten.append(content)
+            self._ask()
+        return not self._unwritten
 
     def never_ran(self, msg_id: str) -> bool:
-        return self._note(b"O", [msg_id])
+        """The last attempt did not; whether that is on record by now. So with the next two."""
+        written = self._note(b"O", [msg_id])
+        self._contents.apply(b"O", [msg_id])
+        return written
 
     def give_up(self, msg_id: str, end: End) -> bool:
-        return self._note(b"N", [msg_id, end.status, end.again_ms])
+        """The message has this end, which is still to be told."""
+        written = self._note(b"N", [msg_id, end.status, end.again_ms])
+        self._contents.apply(b"N", [msg_id, end.status, end.again_ms])
+        return written
 
     def end(self, msg_id: str, end: End) -> bool:
-        return self._note(b"E", [msg_id, end.status, end.again_ms])
+        """The message has ended, and nothing more is owed."""
+        written = self._note(b"E", [msg_id, end.status, end.again_ms])
+        self._forget(msg_id, end)
+        return written
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -44,6 +44,7 @@
 _LEAST_PACE = 0.3  # calls/s: a slower one would hold the first call after a part has grown again
 _AT_ONCE = 64  # new messages that the module decides on in one turn
 _ASK_AGAIN_MS = 250
+_WRITE_AGAIN_S = 0.05  # from one try to write what the disk did not take to the next
 _GRACE = 0.1  # s past its time after which a message that the module still holds is withdrawn from it
 _SWEPT = 64  # waits that each change of the list looks at: those that are over go
 
@@ -73,6 +74,8 @@
         self.attempts = Attempts(
             self.rules, clock, journal, self.table, self.held, self.waits, self.counts, self._hear, self._end
         )
+        journal.on_failing = self._write_later
+        self._writing_later = False
         self._backlog = Backlog()
         self._ready: list[Submission | io.Event] = []
         self._timers = Timers()
@@ -176,6 +179,8 @@
     def start(self, known: MapUpdate) -> None:
         """Give the module its last list and what an earlier process took on and did not end."""
         self._learn(known, io.ListKind.CACHED)
+        if self.journal.failing:  # already at its start
+            self._write_later()
         self.restore(list(self.journal.live.values()))
 
     def restore(self, stored_ones: list[Stored]) -> None:
@@ -208,6 +213,24 @@
         for submission in refused:
             submission.answer(End(Status.DEFERRED))
 
+    # The disk
+
+    def _write_later(self) -> None:
+        """The journal did not take a record: it is tried until it does, and calls wait meanwhile."""
+        if not self._writing_later:
+            self._writing_later = True
+            log.warning("journal-failing", extra=kv(held=len(self.held)))
+            self.clock.call_at(self.clock.now() + _WRITE_AGAIN_S, self._write_again)
+
+    def _write_again(self) -> None:
+        if not self.journal.flush():
+            self.clock.call_at(self.clock.now() + _WRITE_AGAIN_S, self._write_again)
+            return
+        self._writing_later = False
+        log.info("journal-written", extra=kv(held=len(self.held)))
+        if not self._stopped:
+            self.attempts.release()
+
     # What comes in
 
     def submit(self, submission: Submission) -> None:
--- a/mountgauge/recovery/files.py
+++ b/mountgauge/recovery/files.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import os
 import secrets
 from pathlib import Path
 
 from mountgauge.core.durable_time import Stamp
+from mountgauge.core.files import Files, SystemFiles, write_whole
 from mountgauge.recovery import identity as who
 from mountgauge.recovery import state_file
 from mountgauge.recovery.identity import Found, Identity
@@ -16,21 +16,21 @@
 class Folder:
     """Errors of the file system are the caller's to tell: OSError."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, files: Files | None = None) -> None:
+        self.folder, self._files = folder, files or SystemFiles()
         self.identity, self.remembered_path = folder / "identity", folder / "remembered"
         self._written = b""
 
     def arrive(self, name: str, journal: bool) -> tuple[Identity, Found, bool]:
         """This life's identity, what the folder was, and whether the last life ended as it was asked to."""
-        content = _read(self.identity)
+        content = self._read(self.identity)
         mine, found = who.judge(content, name, journal, secrets.token_hex(8))
         last = who.decode(content) if content is not None else None
         self.say(mine)
         return mine, found, found is Found.KEPT and last is not None and last.clean
 
     def say(self, identity: Identity) -> None:
-        _replace(self.identity, who.encode(identity))
+        self._replace(self.identity, who.encode(identity))
 
     def stands(self, identity: Identity) -> bool:
         """Whether the folder still says who this is: this life, or a later one that came beside it."""
@@ -38,7 +38,7 @@
 
     def _said(self) -> Identity | None:
         try:
-            content = _read(self.identity)
+            content = self._read(self.identity)
         except OSError:
             return None
         return None if content is None else who.decode(content)
@@ -49,28 +49,23 @@
             self.say(identity._replace(clean=True))
 
     def remembered(self, now: Stamp, origin: str, known_version: float) -> Judged:
-        return state_file.judged(_read(self.remembered_path) or b"", now, origin, known_version)
+        return state_file.judged(self._read(self.remembered_path) or b"", now, origin, known_version)
 
     def remember(self, facts: list[Fact], now: Stamp, origin: str) -> bool:
         """Write the facts where they have changed; whether anything was written."""
         content = state_file.encode(facts)
         if content == self._written and self.remembered_path.exists():
             return False
-        _replace(self.remembered_path, state_file.encode([state_file.clock(now, origin), *facts]))
+        self._replace(self.remembered_path, state_file.encode([state_file.clock(now, origin), *facts]))
         self._written = content
         return True
 
+    def _read(self, path: Path) -> bytes | None:
+        try:
+            return self._files.read(path)[: state_file.MOST_BYTES + 1]
+        except FileNotFoundError:
+            return None
 
-def _read(path: Path) -> bytes | None:
-    try:
-        with path.open("rb") as file:
-            return file.read(state_file.MOST_BYTES + 1)
-    except FileNotFoundError:
-        return None
-
-
-def _replace(path: Path, content: bytes) -> None:
-    path.parent.mkdir(parents=True, exist_ok=True)
-    spare = path.with_name(path.name + ".new")
-    spare.write_bytes(content)
-    os.replace(spare, path)
+    def _replace(self, path: Path, content: bytes) -> None:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        write_whole(self._files, path, content)
--- a/mountgauge/relay/kept_list.py
+++ b/mountgauge/relay/kept_list.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import math
-import os
 from dataclasses import dataclass
 from pathlib import Path
 
 import orjson
 
 from mountgauge.core.durable_time import Stamp
+from mountgauge.core.files import Files, SystemFiles, write_whole
 from mountgauge.relay import wire
 from mountgauge.sharding.messages import Answer, PlacementNews
 from mountgauge.sharding.shards import ShardSnapshot
@@ -67,8 +67,9 @@
 class KeptListFile:
     """The file in a state folder."""
 
-    def __init__(self, folder: Path, shard_count: int) -> None:
+    def __init__(self, folder: Path, shard_count: int, files: Files | None = None) -> None:
         self._path, self._shard_count = folder / _NAME, shard_count
+        self._files = files or SystemFiles()
 
     def read(self) -> KeptList | None:
         """What an earlier process kept; None where there is no file, KeptListError where it can't be used."""
@@ -88,6 +89,4 @@
         content = encode(kept, self._shard_count)
         if len(content) > MAX_BYTES:
             raise KeptListError(f"{len(content)} bytes, at most {MAX_BYTES} are kept")
-        new = self._path.with_suffix(".new")
-        new.write_bytes(content)
-        os.replace(new, self._path)
+        write_whole(self._files, self._path, content)
--- a/mountgauge/run/handover.py
+++ b/mountgauge/run/handover.py
@@ -5,11 +5,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
-import os
 from pathlib import Path
 
 from mountgauge.core import shared_waits
+from mountgauge.core.files import Files, SystemFiles, write_whole
 from mountgauge.core.journal import Journal
 from mountgauge.core.sender import Sender
 from mountgauge.log import kv
@@ -30,8 +31,12 @@
 class Handover:
     """Adopts what ended processes left on this folder, and exchanges told waits with running ones."""
 
-    def __init__(self, sender: Sender, journal: Journal, folder: Path, sharing: bool) -> None:
+    def __init__(
+        self, sender: Sender, journal: Journal, folder: Path, sharing: bool, files: Files | None = None
+    ) -> None:
         """`sharing`: a new process can come beside, on the listening socket that the platform keeps."""
+        self._files = files or SystemFiles()
+        self._told = True  # what this process was told to wait is in its file
         self.sender, self.journal, self.folder, self.sharing = sender, journal, folder, sharing
         self._seen: dict[Path, tuple[int, int, int]] = {}
         self._looks = 0
@@ -42,7 +47,7 @@
             return
         self.tell()
         for _ in range(_FIRST_LOOKS):
-            if all(self._waits_path(slot_of(path)).exists() for path in self.journal.others):
+            if all(map(self._heard_from, self.journal.others)):
                 break
             await asyncio.sleep(LOOK_EVERY)
         self.hear()
@@ -53,6 +58,8 @@
         if (self._looks % _ADOPT_LOOKS == 0 and self.sharing) or self.journal.others:
             self.adopt()
         if self.journal.others:
+            if not self._told:
+                self.tell()
             self.hear()
 
     def adopt(self) -> None:
@@ -60,8 +67,9 @@
         had = bool(self.journal.others)
         adopted = self.journal.adopt()
         if had and not self.journal.others:  # what the gone one was told ended with it
-            for path in self.folder.glob("waits*"):
-                path.unlink(missing_ok=True)
+            for path in self._waits_paths():
+                with contextlib.suppress(OSError):  # it says until when it holds, and is replaced as a whole
+                    self._files.unlink(path)
         elif self.journal.others and not had:  # a newer process beside this one: it is to heed our waits
             self.tell()
         if adopted:
@@ -71,7 +79,7 @@
     def successor(self) -> bool:
         """Whether a newer process serves beside this one, on the same listening socket and folder."""
         self.adopt()
-        return self.sharing and bool(self.journal.others)
+        return self.sharing and bool(self.journal.beside)
 
     def _waits_path(self, slot: int) -> Path:
         return self.folder / ("waits" if slot == 0 else f"waits.{slot}")
@@ -80,16 +88,31 @@
         """A wait was told to this process: the one beside it is to heed it too."""
         if not self.journal.others:
             return
-        own = self._waits_path(self.journal.slot)
-        spare = own.with_name(own.name + ".new")
+        content = shared_waits.encode(self.sender.waits, self.journal.time.stamp())
         try:
-            spare.write_bytes(shared_waits.encode(self.sender.waits, self.journal.time.stamp()))
-            os.replace(spare, own)
+            write_whole(self._files, self._waits_path(self.journal.slot), content)
         except OSError as error:
-            log.warning("waits-not-shared", extra=kv(error=error))
+            if self._told:  # the first time: it is tried at each look
+                log.warning("waits-not-shared", extra=kv(error=error))
+            self._told = False
+        else:
+            self._told = True
+
+    def _heard_from(self, journal: Path) -> bool:
+        """Whether the process with this journal has told its waits."""
+        with contextlib.suppress(OSError):
+            return self._waits_path(slot_of(journal)).exists()
+        return False
+
+    def _waits_paths(self) -> list[Path]:
+        try:
+            return [path for path in self.folder.iterdir() if path.name.startswith("waits")]
+        except OSError as error:
+            log.warning("waits-not-read", extra=kv(path=self.folder.name, error=error))
+            return []
 
     def hear(self) -> None:
-        for path in self.folder.glob("waits*"):
+        for path in self._waits_paths():
             if path == self._waits_path(self.journal.slot) or path.name.endswith(".new"):
                 continue
             try:
@@ -97,7 +120,7 @@
                 version = (stat.st_ino, stat.st_size, stat.st_mtime_ns)
                 if self._seen.get(path) == version:
                     continue
-                content = path.read_bytes()
+                content = self._files.read(path)
                 self._seen[path] = version
                 told = shared_waits.decode(content, self.journal.time.stamp())
             except (OSError, ValueError) as error:
--- a/mountgauge/run/recovery.py
+++ b/mountgauge/run/recovery.py
@@ -52,6 +52,7 @@
         self.restored = 0
         self._folder_at = now
         self._failed = False
+        self._arrived = False  # the folder says which life this is
         self._emptied = 0
         self._timer: asyncio.TimerHandle | None = None
         self._phase_said = ""
@@ -60,25 +61,34 @@
 
     async def start(self) -> None:
         runtime = self.runtime
-        journal = runtime.journal
-        had = bool(journal.live or journal.ends)
+        self.restored = len(runtime.journal.live)
+        try:
+            self._arrive()
+        except OSError as error:  # it is tried again at each look
+            log.error("folder-not-read", extra=kv(error=error))
+            self._failed = True
+        runtime.sender.fresh = self.fresh
+        runtime.sender.on_list = self._list_came
+        self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
+
+    def _arrive(self) -> None:
+        """Begin this life by what the folder says; OSError where it cannot be read or written."""
+        runtime = self.runtime
+        had = bool(runtime.journal.live or runtime.journal.ends)
         stamp = read(runtime.sender.clock)
+        self.identity, self.found, clean = self.folder.arrive(runtime.config.name, had)
+        self._arrived = True
         try:
-            self.identity, self.found, clean = self.folder.arrive(runtime.config.name, had)
             remembered = self.folder.remembered(stamp, self.identity.id, runtime.config.known.version)
         except OSError as error:
             log.error("folder-not-read", extra=kv(error=error))
-            clean, remembered = False, Judged()
-        self.restored = len(journal.live)
+            remembered = Judged()
         log.info("life", extra=kv(name=self.identity.name, id=self.identity.id, life=self.identity.life,
                                   found=self.found.value, restored=self.restored,
                                   why=who.careful(self.found, clean)))  # fmt: skip
         for why, count in sorted(remembered.dropped.items()):
             log.info("remembered-dropped", extra=kv(why=why, facts=count))
         self._heed(remembered, stamp)
-        runtime.sender.fresh = self.fresh
-        runtime.sender.on_list = self._list_came
-        self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
 
     def _heed(self, remembered: Judged, stamp: Stamp) -> None:
         """What an earlier life knew makes this one more careful, never bolder."""
@@ -199,8 +209,10 @@
                 self._emptied += 1
                 log.error("folder-emptied", extra=kv(written_anew=len(runtime.journal.live),
                                                      why="its journal was gone while this ran"))  # fmt: skip
-            if not self.folder.stands(self.identity):
-                self._say()
+            if not self._arrived:
+                self._arrive()
+            elif not self.folder.stands(self.identity):
+                self.folder.say(self.identity)
             self._failed = False
         except OSError as error:
             if not self._failed:
@@ -225,7 +237,7 @@
         return found
 
     def _remember(self) -> None:
-        if self.runtime.journal.slot:
+        if self.runtime.journal.slot or not self._arrived:
             return  # the older process beside this one writes it
         try:
             stamp = read(self.runtime.sender.clock)
@@ -240,7 +252,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            if not self.runtime.taking:  # asked to end
+            if not self.runtime.taking and self._arrived:  # asked to end
                 try:
                     self.folder.ended(self.identity)
                 except OSError as error:
--- a/mountgauge/run/serve.py
+++ b/mountgauge/run/serve.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import gc
 import logging
 import signal
@@ -10,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from mountgauge.core.journal import JournalUnavailableError
 from mountgauge.log import kv
 from mountgauge.run import SIGNALS
 from mountgauge.run.base import Runtime
@@ -18,6 +21,8 @@
 log = logging.getLogger("mountgauge.run")
 
 _STATE_EVERY = 5.0  # s
+_START_AGAIN = 0.25  # s from a start that the folder did not let through to the next
+_PASSING = {errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EAGAIN}
 
 
 async def _state_lines(runtime: Runtime) -> None:
@@ -37,7 +42,30 @@
 async def _looking(runtime: Runtime) -> None:
     while True:
         await asyncio.sleep(LOOK_EVERY)
-        runtime.look()
+        try:
+            runtime.look()
+        except OSError as error:  # at the next look, perhaps
+            log.warning("folder-not-read", extra=kv(error=error))
+
+
+async def made(make: Callable[[], Runtime], asked: asyncio.Event) -> Runtime | None:
+    """The sender, put together. While its folder fails, so that what it owes is not known, it waits; None
+    where it is asked to end meanwhile.
+    """
+    said = False
+    while not asked.is_set():
+        try:
+            return make()
+        except JournalUnavailableError as error:
+            if error.errno not in _PASSING:
+                raise
+            if not said:
+                log.error("start-waits", extra=kv(error=error))
+            said = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_START_AGAIN):
+                await asked.wait()
+    return None
 
 
 async def serve(make: Callable[[], Runtime]) -> None:
@@ -48,7 +76,8 @@
     asked = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
-    runtime = make()
+    if (runtime := await made(make, asked)) is None:
+        return
     await runtime.start()
     loop.add_signal_handler(signal.SIGHUP, runtime.reload)  # not before there is anything to move
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
--- /dev/null
+++ b/tests/failing_files.py
@@ -0,0 +1,70 @@
+"""A disk that fails when told to, at the seam through which the state folder is read and written."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections import Counter
+from pathlib import Path
+
+from mountgauge.core.files import SystemFiles
+
+
+class Killed(BaseException):
+    """The process is gone: nothing that it would do next happens."""
+
+
+class FailingFiles(SystemFiles):
+    """The system's calls, of which those that `fails` names raise `error`; a write does past `room`."""
+
+    def __init__(self) -> None:
+        self.error = errno.EIO
+        self.calls = Counter[str]()
+        self.heal()
+
+    def heal(self) -> None:
+        """The disk is back."""
+        self.fails: set[str] = set()
+        self.room: int | None = None  # bytes that are still written; None: any number
+        self.killed_at = ""  # the call at which the process ends
+
+    def _call(self, name: str) -> None:
+        self.calls[name] += 1
+        if name == self.killed_at:
+            raise Killed(name)
+        if name in self.fails:
+            raise OSError(self.error, os.strerror(self.error))
+
+    def open(self, path: Path, flags: int) -> int:
+        self._call("lock" if path.name.startswith("lock") else "open")
+        return super().open(path, flags)
+
+    def close(self, file: int) -> None:
+        super().close(file)
+        self._call("close")
+
+    def read(self, path: Path) -> bytes:
+        self._call("read")
+        return super().read(path)
+
+    def write(self, file: int, data: memoryview) -> int:
+        self._call("write")
+        if self.room is None:
+            return super().write(file, data)
+        if not self.room:
+            raise OSError(self.error, os.strerror(self.error))
+        written = super().write(file, data[: self.room])
+        self.room -= written
+        return written
+
+    def truncate(self, file: int, size: int) -> None:
+        self._call("truncate")
+        super().truncate(file, size)
+
+    def replace(self, source: Path, target: Path) -> None:
+        self._call("replace")
+        super().replace(source, target)
+
+    def unlink(self, path: Path) -> None:
+        self._call("unlink")
+        super().unlink(path)
