Say which epochs of a monotonic clock cannot be told apart

Cause: the docstring of `core/durable_time.py` named what cannot be told over a boot, not what remains where each process of one boot has a monotonic epoch of its own.

Change: one sentence.

--- a/mountgauge/core/durable_time.py
+++ b/mountgauge/core/durable_time.py
@@ -30,6 +30,8 @@
 What cannot be told: over a change of the boot, a wall clock that was set forward looks like a long pause,
 and one that was set back by less than the pause like a short one. The first ends messages early: `deferred`
 where none of their attempts may have run, which is harmless. The second is bounded by the newest record.
+Within a boot, where each process has a monotonic epoch of its own, one that has run for longer than the
+writer had at its newest record cannot see that, and takes the difference of their clocks for the span.
 
 Pure, but for `SystemClocks` and `boot_id`.
 """
