--- a/mountgauge/run/recovery.py
+++ b/mountgauge/run/recovery.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
+from mountgauge.core.durable_time import Stamp, read
 from mountgauge.log import kv
 from mountgauge.recovery import bounds
 from mountgauge.recovery import identity as who
@@ -51,6 +52,7 @@
         self.restored = 0
         self._folder_at = now
         self._failed = False
+        self._arrived = False  # the folder says which life this is
         self._emptied = 0
         self._timer: asyncio.TimerHandle | None = None
         self._phase_said = ""
@@ -59,31 +61,39 @@
 
     async def start(self) -> None:
         runtime = self.runtime
-        journal = runtime.journal
-        had = bool(journal.live or journal.ends)
+        self.restored = len(runtime.journal.live)
         try:
-            self.identity, self.found, clean = self.folder.arrive(runtime.config.name, had)
-            remembered = self.folder.remembered(
-                runtime.sender.clock.wall(), self.identity.id, runtime.config.known.version
-            )
+            self._arrive()
+        except OSError as error:  # it is tried again at each look
+            log.error("folder-not-read", extra=kv(error=error))
+            self._failed = True
+        runtime.sender.fresh = self.fresh
+        runtime.sender.on_list = self._list_came
+        self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
+
+    def _arrive(self) -> None:
+        """Begin this life by what the folder says; OSError where it cannot be read or written."""
+        runtime = self.runtime
+        had = bool(runtime.journal.live or runtime.journal.ends)
+        stamp = read(runtime.sender.clock)
+        self.identity, self.found, clean = self.folder.arrive(runtime.config.name, had)
+        self._arrived = True
+        try:
+            remembered = self.folder.remembered(stamp, self.identity.id, runtime.config.known.version)
         except OSError as error:
             log.error("folder-not-read", extra=kv(error=error))
-            clean, remembered = False, Judged()
-        self.restored = len(journal.live)
+            remembered = Judged()
         log.info("life", extra=kv(name=self.identity.name, id=self.identity.id, life=self.identity.life,
                                   found=self.found.value, restored=self.restored,
                                   why=who.careful(self.found, clean)))  # fmt: skip
         for why, count in sorted(remembered.dropped.items()):
             log.info("remembered-dropped", extra=kv(why=why, facts=count))
-        self._heed(remembered)
-        runtime.sender.fresh = self.fresh
-        runtime.sender.on_list = self._list_came
-        self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
+        self._heed(remembered, stamp)
 
-    def _heed(self, remembered: Judged) -> None:
+    def _heed(self, remembered: Judged, stamp: Stamp) -> None:
         """What an earlier life knew makes this one more careful, never bolder."""
         sender = self.runtime.sender
-        now, wall = sender.clock.now(), sender.clock.wall()
+        now, wall = stamp.monotonic, stamp.wall
         waits, paces = remembered.of("wait"), remembered.of("pace")
         for subject in sorted({*waits, *paces}):
             if not subject.isdecimal():
@@ -200,8 +210,10 @@
                 self._emptied += 1
                 log.error("folder-emptied", extra=kv(written_anew=len(runtime.journal.live),
                                                      why="its journal was gone while this ran"))  # fmt: skip
-            if not self.folder.stands(self.identity):
-                self._say()
+            if not self._arrived:
+                self._arrive()
+            elif not self.folder.stands(self.identity):
+                self.folder.say(self.identity)
             self._failed = False
         except OSError as error:
             if not self._failed:
@@ -209,10 +221,10 @@
             self._failed = True
         return True
 
-    def facts(self) -> list[Fact]:
+    def facts(self, stamp: Stamp) -> list[Fact]:
         """What is worth knowing at the next start."""
         sender = self.runtime.sender
-        now, wall, policy = sender.clock.now(), sender.clock.wall(), sender.policy
+        now, wall, policy = stamp.monotonic, stamp.wall, sender.policy
         rules, origin = sender.rules, self.identity.id
         lasts = wall + bounds.remembered(max(grade.deadline for grade in rules.grades), rules.cold)
         found = [Fact("list", "", sender.version, wall, origin, wall + 86_400)] if sender.version >= 0 else []
@@ -226,10 +238,11 @@
         return found
 
     def _remember(self) -> None:
-        if self.runtime.journal.slot:
+        if self.runtime.journal.slot or not self._arrived:
             return  # the older process beside this one writes it
         try:
-            self.folder.remember(self.facts())
+            stamp = read(self.runtime.sender.clock)
+            self.folder.remember(self.facts(stamp), stamp, self.identity.id)
         except OSError as error:
             log.warning("not-remembered", extra=kv(error=error))
 
@@ -240,7 +253,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            if not self.runtime.taking:  # asked to end
+            if not self.runtime.taking and self._arrived:  # asked to end
                 try:
                     self.folder.ended(self.identity)
                 except OSError as error:
