--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -44,6 +44,7 @@
 _LEAST_PACE = 0.3  # calls/s: a slower one would hold the first call after a part has grown again
 _AT_ONCE = 64  # new messages that the module decides on in one turn
 _ASK_AGAIN_MS = 250
+_WRITE_AGAIN_S = 0.05  # from one try to write what the disk did not take to the next
 _GRACE = 0.1  # s past its time after which a message that the module still holds is withdrawn from it
 _SWEPT = 64  # waits that each change of the list looks at: those that are over go
 
@@ -75,6 +76,8 @@
         self.attempts = Attempts(
             self.rules, clock, journal, self.table, self.held, self.waits, self.counts, self._hear, self._end
         )
+        journal.on_failing = self._write_later
+        self._writing_later = False
         self._backlog = Backlog()
         self._ready: list[Submission | io.Event] = []
         self._timers = Timers()
@@ -179,23 +182,24 @@
     def start(self, known: MapUpdate) -> None:
         """Give the module its last list and what an earlier process took on and did not end."""
         self._learn(known, io.ListKind.CACHED)
+        if self.journal.failing:  # already at its start
+            self._write_later()
         self.restore(list(self.journal.live.values()))
 
     def restore(self, stored_ones: list[Stored]) -> None:
         """Messages of an earlier process, from its journal: at the start, or adopted at a hand-over."""
-        offset = self.clock.now() - self.clock.wall()
         for stored in stored_ones:
             if stored.id in self.numbers:
                 continue
             if (end := end_without_class(stored, self.names)) is not None:
                 stored.notice = end
                 self.journal.give_up(stored.id, end)
-            held = self._hold(stored, stored.expires + offset)
+            held = self._hold(stored, self.journal.time.monotonic(stored.expires))
             if stored.notice is not None:  # given up by the last process, whose notice may not have arrived
                 held.over = True
                 self._tell(held, stored.notice)
                 continue
-            self._backlog.add(held, self.names.grades.index(stored.grade), offset)
+            self._backlog.add(held, self.names.grades.index(stored.grade), self.journal.time)
         if stored_ones:
             log.info("restored", extra=kv(messages=len(stored_ones), cut_bytes=self.journal.cut))
         self._soon()
@@ -212,6 +216,24 @@
         for submission in refused:
             submission.answer(End(Status.DEFERRED))
 
+    # The disk
+
+    def _write_later(self) -> None:
+        """The journal did not take a record: it is tried until it does, and calls wait meanwhile."""
+        if not self._writing_later:
+            self._writing_later = True
+            log.warning("journal-failing", extra=kv(held=len(self.held)))
+            self.clock.call_at(self.clock.now() + _WRITE_AGAIN_S, self._write_again)
+
+    def _write_again(self) -> None:
+        if not self.journal.flush():
+            self.clock.call_at(self.clock.now() + _WRITE_AGAIN_S, self._write_again)
+            return
+        self._writing_later = False
+        log.info("journal-written", extra=kv(held=len(self.held)))
+        if not self._stopped:
+            self.attempts.release()
+
     # What comes in
 
     def submit(self, submission: Submission) -> None:
@@ -381,9 +403,8 @@
             one.answer(End(Status.DEFERRED, math.ceil(min(wait, self.rules.max_retry_after) * 1000)))
         else:
             expires = now + one.left
-            wall = self.clock.wall() + one.left
-            grade = self.names.grades[one.grade]
-            return self._hold(Stored(one.id, grade, wall, one.dest, one.key, one.front, one.body), expires)
+            until, grade = self.journal.time.of(expires), self.names.grades[one.grade]
+            return self._hold(Stored(one.id, grade, until, one.dest, one.key, one.front, one.body), expires)
         return None
 
     def _hold(self, stored: Stored, expires: float) -> Held:
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -17,6 +17,7 @@
 
 from mountgauge.core.attempts import Attempts
 from mountgauge.core.config import MapUpdate
+from mountgauge.core.durable_time import ProcessTime
 from mountgauge.core.held import HeldMessages
 from mountgauge.core.hop_table import HopTable
 from mountgauge.core.journal import Journal, Stored
@@ -78,6 +79,9 @@
     def wall(self) -> float:
         return self.time
 
+    def boot(self) -> str:
+        return "one"
+
     def call_at(self, when: float, then: Callable[[], None]) -> None:
         heapq.heappush(self._due, (max(when, self.time), next(self._order), then))
 
@@ -253,6 +257,11 @@
 class _Journal:
     """Takes every attempt."""
 
+    failing = False
+
+    def __init__(self, time: VirtualTime) -> None:
+        self.time = ProcessTime(time)
+
     def attempt(self, ids: list[str], wall: float, zone: int) -> None: ...
 
 
@@ -280,7 +289,7 @@
         held = HeldMessages()
         self._message = held.hold(Stored("m", "note", 1e9, 7, "k", "platform", b""), 1e9)
         self.attempts = parts.attempts(
-            rules, time, cast(Journal, _Journal()), self.table, held, Waits(), Counter(), _ignore, _ignore
+            rules, time, cast(Journal, _Journal(time)), self.table, held, Waits(), Counter(), _ignore, _ignore
         )
         self.sent = Sent()
         self._exchanges: dict[ListCall, Exchange] = {}
