Take a local shortage of descriptors or ports for what it is, at every peer

HttpNextHops._connect and AmqpNextHops._connect reported CONNECT_FAILED for every OSError, so that EMFILE, ENFILE, ENOBUFS or EADDRNOTAVAIL marked an endpoint down that nobody had asked. ListExchange._connect told the same as a refusal of discovery and Notices._run as a failure of the platform: their back-offs grew by it. Client.exchange let ETIMEDOUT from a connect through as TimeoutError, which the relays' follower reads as silence (isinstance(error, TimeoutError)); the console did so with what a call raises. Over AMQP, BrokerLink.on_lost judged all calls of a connection by one flag: a publish that had left whole was said never to have run when a later one was cut, and one whose first write failed was said to have been reset.

Change. mountgauge/connecting.py connects for all of them: a shortage is waited out in pauses of 50 ms within the limit of the connect, idle connections are closed meanwhile, and past the limit its error tells that the call was not sent (MOOT). The system's ETIMEDOUT is an error of the connection. Of what an AMQP connection has not written only the last publish is known never to have run. The system calls of clients' connections are reached through Registry.system_calls, so that tests can let each of them fail.

--- a/mountgauge/amqp/link.py
+++ b/mountgauge/amqp/link.py
@@ -35,7 +35,7 @@
 
     __slots__ = (
         "_beat", "_beat_at", "_closing_by", "_contents", "_drain", "_heartbeat", "_more", "_parser",
-        "_read_at", "_whole_at", "flushed", "frame_max", "state", "transport",
+        "_read_at", "_whole_at", "flushed", "frame_max", "state", "transport", "written",
     )  # fmt: skip
     quantum = 1 << 30  # frames that are read in a row
 
@@ -43,6 +43,7 @@
         self.state = state
         self.frame_max = codec.FRAME_MIN
         self.flushed = True  # all that was written has reached the socket
+        self.written = 0  # bytes, also those that wait for the socket
         self.transport: asyncio.Transport | None = None
         self._parser = codec.FrameParser(FRAME_MAX)
         self._contents: dict[int, Content] = {}
@@ -77,7 +78,10 @@
         if self.transport is not None and self.state is not State.CLOSED:
             if self._heartbeat:
                 self._beat_at = asyncio.get_running_loop().time() + self._heartbeat / 2
+            self.written += len(data)
             self.transport.write(data)
+            if self.transport.is_closing():  # it broke as it was written to, and the system took nothing
+                self.flushed = False
 
     def send_method(self, channel: int, name: str, **args: Any) -> None:
         self.send(codec.method(channel, name, **args))
--- a/mountgauge/amqp/next_hops.py
+++ b/mountgauge/amqp/next_hops.py
@@ -16,6 +16,7 @@
 from mountgauge.amqp.clients import KEY_HEADER
 from mountgauge.amqp.codec import AmqpError, Content, Method
 from mountgauge.amqp.link import FRAME_MAX, Link, State
+from mountgauge.connecting import connect
 from mountgauge.core.ports import Call, CallOwner, Item, NextHop, Result
 from rillspindle.interface import Outcome
 
@@ -44,6 +45,8 @@
     going: list[Item] = field(default_factory=list)
     tags: dict[int, Item] = field(default_factory=dict)
     results: dict[int, Result] = field(default_factory=dict)
+    last_byte: int = 0  # its place in all that its connection has written
+    short: bool = False  # this machine had no descriptor or port for it, which says nothing of its broker
 
 
 @dataclass(slots=True, eq=False)
@@ -93,11 +96,10 @@
         self.channels.clear()
         self._lost()
         for out in outs:
-            # Published and not confirmed: it may have taken effect, unless its last byte never left.
-            outcome = Outcome.RESET if self.flushed or not out.tags else Outcome.CONNECT_FAILED
-            if not out.going:
-                outcome = Outcome.CONNECT_FAILED
-            self._fill(out, Result(outcome))
+            # Published and not confirmed: it may have taken effect, unless its last byte never left. Of what
+            # was still unwritten that is sure of the last bytes alone.
+            never = not out.going or (not self.flushed and out.last_byte == self.written)
+            self._fill(out, Result(Outcome.CONNECT_FAILED if never else Outcome.RESET))
 
     def _fill(self, out: _Out, result: Result) -> None:
         for item in out.going or out.call.items:
@@ -250,6 +252,7 @@
                 mandatory=True,
             )
             data += codec.content(channel.number, properties, item.body, self.frame_max)
+        out.last_byte = self.written + len(data)
         self.send(data)
 
     def _confirmed(self, channel: _Channel, tag: int, multiple: bool, acked: bool) -> None:
@@ -331,6 +334,9 @@
         """Descriptors are bounded: a connection without a call goes before a call stays behind."""
         if len(self._links) + len(self._opening) < self._most:
             return True
+        return self._close_an_idle_one()
+
+    def _close_an_idle_one(self) -> bool:
         idle = next((hop_id for hop_id, link in self._links.items() if not link.busy), None)
         if idle is not None:
             self.close_idle(idle)
@@ -354,17 +360,26 @@
             if not ready.done():
                 ready.set_result(None)
 
+        short = False
+
+        def on_shortage() -> None:
+            nonlocal short
+            short = True
+            for out in self._queued.get(hop.id, []):
+                out.short = True
+            self._close_an_idle_one()
+
         link = BrokerLink(self._account(hop.id), on_ready, lost, self._finish, self._owner.admit)
         try:
             async with asyncio.timeout(self._connect_timeout):
-                await loop.create_connection(lambda: link, hop.host, hop.port)
+                await connect(lambda: link, hop.host, hop.port, None, on_shortage)
                 await ready
-        except (OSError, TimeoutError):
+        except OSError:
+            never = Outcome.MOOT if short and not link.written else Outcome.CONNECT_FAILED
             link.abort()
             self._opening.pop(hop.id, None)
             for out in self._queued.pop(hop.id, []):
-                failed = Result(Outcome.CONNECT_FAILED)
-                out.results = {item.number: failed for item in out.call.items}
+                out.results = {item.number: Result(never) for item in out.call.items}
                 self._finish(out)
             return
         link.place = (hop.host, hop.port)
@@ -395,7 +410,8 @@
         out = self._out.get(call)
         if out is None:
             return
-        never = Outcome.MOOT if outcome == Outcome.CANCELLED else Outcome.CONNECT_FAILED
+        moot = out.short or outcome == Outcome.CANCELLED
+        never = Outcome.MOOT if moot else Outcome.CONNECT_FAILED
         result = Result(outcome if out.going else never)
         for item in out.going or call.items:
             out.results.setdefault(item.number, result)
--- a/mountgauge/connections/acceptor.py
+++ b/mountgauge/connections/acceptor.py
@@ -85,7 +85,7 @@
             if self._sock is None:
                 return
             try:
-                sock, _ = self._sock.accept()
+                sock = self._registry.system_calls.accept(self._sock)
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
@@ -107,7 +107,7 @@
         if self._spare >= 0 and self._sock is not None:
             os.close(self._spare)
             try:
-                sock, _ = self._sock.accept()
+                sock = self._registry.system_calls.accept(self._sock)
             except OSError:
                 pass
             else:
--- a/mountgauge/connections/connection.py
+++ b/mountgauge/connections/connection.py
@@ -14,6 +14,8 @@
 import socket
 from typing import Any, Protocol
 
+from mountgauge.connections.system_calls import SystemCalls
+
 log = logging.getLogger("mountgauge.holding")
 
 _SINK, _SINKS = 256 * 1024, 4  # bytes thrown away at once, and how often
@@ -23,6 +25,8 @@
 class TransportOwner(Protocol):
     """Who holds a connection: the registry."""
 
+    system_calls: SystemCalls
+
     def watch(self, fd: int, before: int, mask: int) -> None: ...
 
     def owes(self, transport: ConnectionTransport, count: int) -> None: ...
@@ -75,7 +79,7 @@
             self._out += data
         else:
             try:
-                sent = os.write(self.fd, data)
+                sent = self._registry.system_calls.write(self.fd, data)
             except (BlockingIOError, InterruptedError):
                 sent = 0
             except OSError:
@@ -140,7 +144,7 @@
             return
         buffer = protocol.get_buffer(-1)
         try:
-            count = os.readv(self.fd, [buffer])
+            count = self._registry.system_calls.read(self.fd, [buffer])
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
@@ -161,7 +165,7 @@
     def _flush(self) -> None:
         assert self._out is not None and self._protocol is not None
         try:
-            sent = os.write(self.fd, self._out)
+            sent = self._registry.system_calls.write(self.fd, self._out)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
--- a/mountgauge/connections/registry.py
+++ b/mountgauge/connections/registry.py
@@ -22,6 +22,7 @@
 from mountgauge.connections.connection import ConnectionTransport
 from mountgauge.connections.scheduler import OverloadDetector, RetrySpread, Scheduler
 from mountgauge.connections.settings import ClientSettings, Times
+from mountgauge.connections.system_calls import SystemCalls
 from mountgauge.connections.timer_wheel import FAR, TimerWheel
 
 BATCH = 64  # connections that one turn of the loop hears, lets go or cleans up after
@@ -47,9 +48,10 @@
 class Registry:
     """Made and used in one event loop; `close` gives everything back."""
 
-    def __init__(self, settings: ClientSettings) -> None:
+    def __init__(self, settings: ClientSettings, system_calls: SystemCalls | None = None) -> None:
         self._loop = asyncio.get_running_loop()
         self.settings = settings
+        self.system_calls = system_calls or SystemCalls()
         self.shared = Shared(settings.most)
         self.timer_wheel = TimerWheel[Registered](self._loop.time())
         self.scheduler = Scheduler[Registered]()
--- a/mountgauge/console/listener.py
+++ b/mountgauge/console/listener.py
@@ -73,13 +73,16 @@
         return self.asked  # half-closed after its request, it still hears the answer
 
     async def _carry_out(self, call: Call) -> None:
+        within = asyncio.timeout(_ANSWER_WITHIN)
         try:
-            reply = await asyncio.wait_for(self._console.carry_out(call), _ANSWER_WITHIN)
-        except TimeoutError:
-            reply = Reply(503, "not carried out in time")
+            async with within:
+                reply = await self._console.carry_out(call)
         except Exception as error:  # one call's fault is not the console's end
-            log.exception("console-call-failed", extra=kv(call=call.kind))
-            reply = Reply(503, f"failed: {error!r}"[:200])
+            if within.expired():
+                reply = Reply(503, "not carried out in time")
+            else:  # a TimeoutError of the system's is a fault as well
+                log.exception("console-call-failed", extra=kv(call=call.kind))
+                reply = Reply(503, f"failed: {error!r}"[:200])
         self.send(reply)
 
     def send(self, reply: Reply) -> None:
@@ -115,4 +118,7 @@
     def close(self) -> None:
         super().close()
         for caller in list(self._callers):
-            caller.abort()
+            if caller.asked:
+                caller.send(Reply(503, "the sender stops"))
+            else:
+                caller.abort()
--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import cast
 
+from mountgauge.connecting import connect
+
 _MOST_HEAD = 16 * 1024  # bytes of a line
 _MOST_HEADERS = 100
 _MOST_DIGITS = 15  # of a length: far more than any bound, far less than int() takes long for
@@ -376,16 +378,14 @@
             self._connection = None
 
     async def exchange(self, data: bytes, limit: float, connect_limit: float = 1.5) -> Message:
-        """The whole answer; OSError or TimeoutError where none comes in time."""
+        """The whole answer; TimeoutError where nothing comes in time, another OSError where it broke."""
         loop = asyncio.get_running_loop()
         connection = self._connection
         if connection is None or connection.state is not State.IDLE or not connection.silent:
             self.close()
-            async with asyncio.timeout(connect_limit):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(self._forget, self._most, self._rest), self.host, self.port
-                )
-            self._connection = connection
+            made = Connection(self._forget, self._most, self._rest)
+            await connect(lambda: made, self.host, self.port, connect_limit)
+            self._connection = connection = made
         answer: asyncio.Future[Message] = loop.create_future()
 
         def finished(message: Message, flushed: bool) -> None:
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from mountgauge.connecting import connect, is_local_shortage
 from mountgauge.core.ports import Call, CallOwner, Item, NextHop, Result
 from mountgauge.http1 import Connection, Message, State, request, wait_s
 from rillspindle.interface import Outcome
@@ -75,6 +76,7 @@
     stopped: Outcome | None = None
     idle: float | None = None  # s that its connection had been kept, None for a new one
     last: bool = False  # its endpoint has left meanwhile: the connection goes with the call
+    short: bool = False  # this machine had no descriptor or port for it, which says nothing of its endpoint
 
 
 class HttpNextHops:
@@ -144,12 +146,14 @@
 
     def _make_room(self) -> bool:
         """Idle connections must not keep a call from going out when descriptors run short."""
-        if self._open < self._most:
-            return True
+        if self._open >= self._most:
+            self._close_oldest_idle()
+        return self._open < self._most
+
+    def _close_oldest_idle(self) -> None:
         idle = [c for pool in self._pools.values() for c in pool]
         if idle:
             min(idle, key=lambda c: c.idle_since).close()
-        return self._open < self._most
 
     def close_idle(self, hop_id: str) -> None:
         """Those at rest now; one with a call out goes once that is answered."""
@@ -187,11 +191,16 @@
 
     async def _connect(self, out: _Out, connection: Connection) -> None:
         hop = out.call.hop
+
+        def short() -> None:
+            out.short = True
+            self._close_oldest_idle()
+
         try:
-            async with asyncio.timeout(self._connect_timeout):
-                await asyncio.get_running_loop().create_connection(lambda: connection, hop.host, hop.port)
-        except (OSError, TimeoutError):
-            self._finish(out, {item.number: Result(Outcome.CONNECT_FAILED) for item in out.call.items})
+            await connect(lambda: connection, hop.host, hop.port, self._connect_timeout, short)
+        except OSError as error:
+            never = Outcome.MOOT if is_local_shortage(error) else Outcome.CONNECT_FAILED
+            self._finish(out, {item.number: Result(never) for item in out.call.items})
             return
         except asyncio.CancelledError:  # given up, before a byte was written
             if connection.state is not State.CONNECTING:
@@ -265,7 +274,8 @@
             return
         if out.task is not None:
             out.task.cancel()
-            never = Outcome.MOOT if outcome == Outcome.CANCELLED else Outcome.CONNECT_FAILED
+            moot = out.short or outcome == Outcome.CANCELLED
+            never = Outcome.MOOT if moot else Outcome.CONNECT_FAILED
             self._finish(out, {item.number: Result(never) for item in call.items})
         elif out.connection is not None:
             out.stopped = outcome
--- a/mountgauge/notices.py
+++ b/mountgauge/notices.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from mountgauge.connecting import SHORTAGE_PAUSE, is_local_shortage
 from mountgauge.core.config import Address
 from mountgauge.core.ports import End, Status
 from mountgauge.http1 import Client, request
@@ -77,6 +78,9 @@
             except (OSError, ValueError) as error:
                 what = f"{type(error).__name__}: {error}"
                 log.warning("notices-failed", extra=kv(owed=len(self._owed), error=what))
+                if is_local_shortage(error):  # the platform was not asked: it need not be spared
+                    await asyncio.sleep(SHORTAGE_PAUSE)
+                    continue
                 if failures:
                     await asyncio.sleep(min(_BACK_OFF * 2 ** (failures - 1), _BACK_OFF_MOST))
                 failures = min(failures + 1, 8)
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from mountgauge.connecting import connect
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.http1 import Connection, Message, State, request
 from mountgauge.log import kv
@@ -53,9 +54,7 @@
     async def _connect(self) -> None:
         connection = Connection(self._discovery.lost, MOST_LIST_BYTES, MOST_REST_S)
         try:
-            await asyncio.get_running_loop().create_connection(
-                lambda: connection, self._address.host, self._address.port
-            )
+            await connect(lambda: connection, self._address.host, self._address.port, limit=None)
         except OSError as error:
             self._discovery.failed(self, Failure.REFUSED, f"{type(error).__name__}: {error}")
             return
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,609 @@
+"""System calls that fail as Linux documents, at each peer: see `docs/faults-system-calls.md`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import resource
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
+
+import orjson
+import pytest
+
+from mountgauge.amqp.next_hops import AmqpNextHops
+from mountgauge.clients import Clients
+from mountgauge.connecting import SHORTAGE_PAUSE
+from mountgauge.connections.acceptor import PAUSE
+from mountgauge.connections.registry import Registry
+from mountgauge.connections.settings import platform_settings
+from mountgauge.console.calls import Call as ConsoleCall
+from mountgauge.console.calls import Reply
+from mountgauge.console.listener import Console
+from mountgauge.core.config import Address
+from mountgauge.core.ports import End, Result, Status, Submission, Taken
+from mountgauge.http1 import Client, Message, request, response
+from mountgauge.next_hops import HttpNextHops
+from mountgauge.notices import Notices
+from mountgauge.platform.discovery import TransportMap
+from rillspindle.interface import Outcome
+from tests.connections.test_hard import SETTINGS
+from tests.crossings.test_attempts import Peer, kept
+from tests.faults import (
+    BROKEN,
+    LOCAL_SHORTAGES,
+    UNREACHABLE,
+    Faults,
+    FaultyCalls,
+    FaultyLoop,
+    name_of,
+    run_faulty,
+)
+from tests.helper import HOST, Broker, HttpHop, HttpServer, until
+from tests.test_clients import command, enqueue
+from tests.test_next_hops import Owner, call
+from tests.test_peers import NAMES, bounds, listing
+from tests.test_peers import Owner as MapOwner
+
+ACCEPT_ERRORS = (
+    errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EPROTO,
+    errno.EPERM, errno.ENETDOWN, errno.EHOSTUNREACH,
+)  # fmt: skip
+PING = command(b"PING")
+
+
+# Clients
+
+
+class Front:
+    """A RESP2 front on faulty system calls that takes on what it is handed."""
+
+    def __init__(self, faults: Faults, crowd: bool) -> None:
+        settings = SETTINGS if crowd else platform_settings(50)
+        self.registry = Registry(settings, FaultyCalls(faults))
+        self.taken: list[str] = []
+        self.front = Clients(self._submit, ("note",), settings.most, registry=self.registry)
+        self.socks: list[socket.socket] = []
+
+    def _submit(self, one: Submission) -> None:
+        self.taken.append(one.id)
+        asyncio.get_running_loop().call_soon(one.answer, Taken())
+
+    async def client(self) -> socket.socket:
+        sock = socket.socket()
+        sock.setblocking(False)
+        self.socks.append(sock)
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, self.front.port))
+        return sock
+
+    def close(self) -> None:
+        for sock in self.socks:
+            sock.close()
+        self.front.stop_listening()
+        self.registry.close()
+
+
+@contextlib.asynccontextmanager
+async def fronted(faults: Faults, crowd: bool) -> AsyncIterator[Front]:
+    front = Front(faults, crowd)
+    await front.front.listen(HOST, 0)
+    try:
+        yield front
+    finally:
+        front.close()
+
+
+async def hear(sock: socket.socket, size: int) -> bytes:
+    """So many bytes, or fewer up to the end."""
+    said, loop = b"", asyncio.get_running_loop()
+    while len(said) < size and (data := await loop.sock_recv(sock, size - len(said))):
+        said += data
+    return said
+
+
+@pytest.mark.parametrize("crowd", [False, True])
+@pytest.mark.parametrize("error", ACCEPT_ERRORS, ids=name_of)
+def test_clients_are_accepted_after_each_failure(error: int, crowd: bool) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with fronted(faults, crowd) as held:
+            for _ in range(2):
+                faults.fail("accept", error, error)  # with the descriptor kept back as well
+                sock = await held.client()
+                await loop.sock_sendall(sock, PING)
+                assert await hear(sock, 7) == b"+PONG\r\n"
+            assert faults.count["accept"] == 4
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS], ids=name_of)
+def test_a_shortage_that_lasts_is_not_asked_about_in_each_turn(error: int) -> None:
+    """The listening socket stays readable for as long: it is left alone for a while."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with fronted(faults, crowd=False) as held:
+            faults.always("accept", error)
+            began = loop.time()
+            sock = await held.client()
+            await loop.sock_sendall(sock, PING)
+            await until(lambda: faults.count["accept"] >= 6)
+            assert faults.count["accept"] <= 2 * ((loop.time() - began) / PAUSE + 1)
+            faults.always("accept", None)
+            assert await hear(sock, 7) == b"+PONG\r\n"
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("crowd", [False, True])
+def test_clients_are_served_over_interrupted_short_reads_and_writes(crowd: bool) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with fronted(faults, crowd) as held:
+            faults.most |= {"read": 7, "write": 3}
+            faults.fail("read", *[errno.EINTR] * 9)
+            faults.fail("write", *[errno.EINTR] * 9)
+            sock = await held.client()
+            data = b"".join(enqueue(b"m%d" % n) for n in range(20)) + command(b"PING", b"x" * 50)
+            await loop.sock_sendall(sock, data)
+            assert await hear(sock, 157) == b"+OK\r\n" * 20 + b"$50\r\n" + b"x" * 50 + b"\r\n"
+            assert held.taken == [f"m{n}" for n in range(20)]
+            assert faults.count["read"] == faults.count["write"] == 9
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("crowd", [False, True])
+@pytest.mark.parametrize("how", ["read", "write", "rest of a write"])
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_clients_connection_that_breaks_ends_alone(error: int, how: str, crowd: bool) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with fronted(faults, crowd) as held:
+            sock, other = await held.client(), await held.client()
+            for one in (sock, other):
+                await loop.sock_sendall(one, PING)
+                assert await hear(one, 7) == b"+PONG\r\n"
+            if how == "rest of a write":
+                faults.after["write"], faults.most["write"] = 2, 2
+            faults.fail(how.split()[-1], error)
+            await loop.sock_sendall(sock, enqueue(b"a"))
+            await until(lambda: faults.count and held.registry.open == 1)
+            assert held.taken == ([] if how == "read" else ["a"])
+            faults.most.clear()
+            await loop.sock_sendall(other, enqueue(b"b"))
+            assert await hear(other, 5) == b"+OK\r\n"
+
+    run_faulty(main)
+
+
+# Endpoints, on both wires
+
+Hops = HttpNextHops | AmqpNextHops
+
+
+def next_hops(wire: str, owner: Owner, limit: float = 2.0) -> Hops:
+    if wire == "http":
+        return HttpNextHops(owner, limit, 5.0, 8)
+    return AmqpNextHops(owner, limit, 60.0, 8, {})
+
+
+def stand_in(wire: str) -> HttpHop | Broker:
+    return HttpHop() if wire == "http" else Broker()
+
+
+async def ended(owner: Owner) -> dict[int, Result]:
+    await until(lambda: owner.done)
+    return owner.done.pop()[1]
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+@pytest.mark.parametrize("step", ["socket", "connect", "connected"])
+@pytest.mark.parametrize("error", LOCAL_SHORTAGES, ids=name_of)
+def test_a_short_shortage_costs_no_attempt(error: int, step: str, wire: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        await hop.start()
+        hops = next_hops(wire, owner)
+        faults.fail(step, error, error, error)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0] == Result(Outcome.OK)
+        assert faults.count[step] == 3 and hops.opened == 1 and len(hop.calls) == 1
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+@pytest.mark.parametrize("end", ["the limit", "its time", "a cancel"])
+@pytest.mark.parametrize("error", LOCAL_SHORTAGES, ids=name_of)
+def test_a_lasting_shortage_is_no_failure_of_the_endpoint(error: int, end: str, wire: str) -> None:
+    """The call has not been sent; it ends once, and the shortage is not asked about in each turn."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        await hop.start()
+        hops = next_hops(wire, owner, 0.3 if end == "the limit" else 5.0)
+        faults.always("socket", error)
+        began, one = loop.time(), call(hop.port, limit=0.3 if end == "its time" else 5.0)
+        hops.start(one)
+        if end == "a cancel":
+            await until(lambda: faults.count["socket"] >= 2)
+            hops.cancel(one)
+        found = await ended(owner)
+        assert found.get(0, Result(Outcome.MOOT)) == Result(Outcome.MOOT)
+        assert 2 <= faults.count["socket"] <= (loop.time() - began) / SHORTAGE_PAUSE + 2
+        faults.always("socket", None)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0] == Result(Outcome.OK)
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+@pytest.mark.parametrize("step", ["connect", "connected"])
+@pytest.mark.parametrize("error", UNREACHABLE, ids=name_of)
+def test_an_endpoint_that_cannot_be_reached_is_told_at_once(error: int, step: str, wire: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        await hop.start()
+        hops = next_hops(wire, owner)
+        faults.always(step, error)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0] == Result(Outcome.CONNECT_FAILED)
+        assert faults.count[step] == 1 and not hop.calls
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+def test_without_a_descriptor_left_an_idle_connection_makes_room() -> None:
+    """The system really has none: the limit is lowered to those in use."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        first, owner = Peer(), Owner()
+        hops = HttpNextHops(owner, 2.0, 5.0, 8)
+        resting = await kept(first, hops, owner)
+        second = Peer()
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        fill: list[int] = []
+        top = max(int(fd) for fd in os.listdir("/proc/self/fd"))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (top + 1, hard))
+        try:
+            with contextlib.suppress(OSError):
+                while True:
+                    fill.append(os.open(os.devnull, os.O_RDONLY))
+            hops.start(call(second.port, limit=5.0))
+            await until(lambda: not hops._pools and hops._open == 1)
+            assert await loop.sock_recv(resting, 1) == b"", "the one at rest has gone"
+            resting.close()
+            sock = await second.accept()
+            await second.call(sock)
+            sock.send(response(200, "OK", {}, b""))
+            assert await ended(owner) == {0: Result(Outcome.OK)}
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for fd in fill:
+                os.close(fd)
+        hops.close()
+        for one in (sock, first.listener, second.listener):
+            one.close()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_connection_that_breaks_under_a_call_is_reset_and_not_silent(error: int, wire: str) -> None:
+    """The call was written and may have run; ETIMEDOUT from the system is no time-out of the call."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        hop.script = ["ok", "slow"]
+        await hop.start()
+        hops = next_hops(wire, owner)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0] == Result(Outcome.OK)
+        if wire == "http":
+            hop.script = ["silent"]
+        hops.start(call(hop.port, limit=5.0))
+        await until(lambda: len(hop.calls) == 2)
+        faults.fail("read", error)
+        await hop.stop()  # something comes: the read tells
+        assert (await ended(owner))[0].outcome is Outcome.RESET
+        hops.close()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+@pytest.mark.parametrize("written", [0, 20])
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_call_whose_last_byte_did_not_leave_never_ran(error: int, written: int, wire: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        await hop.start()
+        hops = next_hops(wire, owner)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0] == Result(Outcome.OK)
+        faults.after["write"] = written
+        faults.always("write", error)
+        hops.start(call(hop.port, limit=5.0))
+        assert (await ended(owner))[0].outcome is Outcome.CONNECT_FAILED
+        assert len(hop.calls) == 1
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("written", [0, 20])
+def test_amqp_a_whole_publish_may_have_run_when_the_next_one_is_cut(written: int) -> None:
+    """They share a connection; only of the one whose last byte did not leave is it sure that it never ran."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = Broker(), Owner()
+        hop.script = ["ok", "ok", "silent"]
+        await hop.start()
+        hops = AmqpNextHops(owner, 2.0, 60.0, 8, {})
+        pair = [call(hop.port, limit=5.0) for _ in range(2)]  # both channels come up
+        for one in pair:
+            hops.start(one)
+        await until(lambda: len(owner.done) == 2)
+        owner.done.clear()
+        whole, cut = call(hop.port, limit=5.0), call(hop.port, limit=5.0)
+        hops.start(whole)
+        await until(lambda: len(hop.calls) == 3)
+        faults.after["write"] = written
+        faults.always("write", errno.EHOSTUNREACH)
+        hops.start(cut)
+        await until(lambda: len(owner.done) == 2)
+        found = {one: results[0].outcome for one, results in owner.done}
+        assert found == {whole: Outcome.RESET, cut: Outcome.CONNECT_FAILED}
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("wire", ["http", "amqp"])
+def test_calls_over_interrupted_short_reads_and_writes(wire: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        hop, owner = stand_in(wire), Owner()
+        await hop.start()
+        hops = next_hops(wire, owner)
+        faults.most |= {"read": 1, "write": 3}
+        faults.fail("connect", errno.EINTR)
+        faults.fail("read", *[errno.EINTR] * 5)
+        faults.fail("write", *[errno.EINTR] * 5)
+        for _ in range(2):
+            hops.start(call(hop.port, limit=9.0))
+            assert (await ended(owner))[0] == Result(Outcome.OK)
+        assert hops.opened == 1 and [len(body) for *_, body in hop.calls] == [1, 1]
+        hops.close()
+        await hop.stop()
+
+    run_faulty(main)
+
+
+# Discovery
+
+
+class Discovery(HttpServer):
+    """Keeps how many calls were out as each came."""
+
+    def __init__(self, reply: Callable[[Message], Awaitable[bytes | None]]) -> None:
+        super().__init__(reply)
+        self.out: list[int] = []
+
+
+@contextlib.asynccontextmanager
+async def followed(answer: bytes) -> AsyncIterator[tuple[Discovery, MapOwner, TransportMap]]:
+    async def reply(message: Message) -> bytes | None:
+        assert message.start is not None
+        server.out.append(len(found._watch.open_calls))
+        if "wait=10000" in message.start[1]:
+            await asyncio.sleep(60)
+        return answer
+
+    server, owner = Discovery(reply), MapOwner(-1)
+    await server.start()
+    found = TransportMap(owner, Address(HOST, server.port), NAMES, bounds(10.0), Random(1))
+    yield server, owner, found
+    found.close()
+    await server.stop()
+
+
+@pytest.mark.parametrize("error", LOCAL_SHORTAGES, ids=name_of)
+def test_a_shortage_here_is_no_failure_of_discovery(error: int) -> None:
+    """No back-off grows by it: the list is asked for as soon as there is something to ask with."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with followed(listing(4, True)) as (_, owner, found):
+            faults.fail("socket", *[error] * 6)
+            found.watch(True)
+            await until(lambda: owner.version == 4)
+            assert faults.count["socket"] == 6 and not found._watch.failures
+            assert loop.delays.count(SHORTAGE_PAUSE) == 6
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_watch_whose_connection_breaks_is_made_anew(error: int) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with followed(listing(4, True)) as (server, owner, found):
+            faults.fail("read", error)
+            found.watch(True)
+            await until(lambda: owner.version == 4)
+            assert faults.count["read"] == 1 and server.connections == 2
+            assert server.out[:2] == [1, 1], "the first is not waited for"
+
+    run_faulty(main)
+
+
+def test_a_list_over_interrupted_short_reads_and_writes() -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with followed(listing(4, True)) as (server, owner, found):
+            faults.most |= {"read": 1, "write": 1}
+            faults.fail("connect", errno.EINTR)
+            faults.fail("read", *[errno.EINTR] * 5)
+            found.watch(True)
+            await until(lambda: owner.version == 4)
+            assert server.connections == 1
+
+    run_faulty(main)
+
+
+# Notices, and every other exchange
+
+TOLD = response(204, "No Content", {}, b"")
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.EADDRNOTAVAIL], ids=name_of)
+def test_a_notice_is_told_as_soon_as_a_shortage_is_over(error: int) -> None:
+    """A back-off that doubled with each failure would pass the time in which its end has to be known."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async def reply(message: Message) -> bytes:
+            return TOLD
+
+        server, told = HttpServer(reply), list[str]()
+        await server.start()
+        notices = Notices(Address(HOST, server.port))
+        faults.fail("socket", *[error] * 48)
+        notices.tell("a", End(Status.DEFERRED), lambda: told.append("a"))
+        await until(lambda: told)
+        assert faults.count["socket"] == 48 and max(loop.delays) <= SHORTAGE_PAUSE
+        notices.close()
+        await server.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("call", ["read", "write", "connect", "connected"])
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_notice_whose_connection_breaks_is_told_again(error: int, call: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async def reply(message: Message) -> bytes:
+            return TOLD
+
+        server, told = HttpServer(reply), list[str]()
+        await server.start()
+        notices = Notices(Address(HOST, server.port))
+        faults.fail(call, error)
+        notices.tell("a", End(Status.DEFERRED), lambda: told.append("a"))
+        await until(lambda: told)
+        assert faults.count[call] == 1 and told == ["a"]
+        notices.close()
+        await server.stop()
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("call", ["read", "write", "connect", "connected"])
+def test_only_silence_is_a_time_out(call: str) -> None:
+    """Who follows a relay leaves one that broke, and asks one that is silent again."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async def reply(message: Message) -> bytes:
+            await asyncio.sleep(60)
+            return b""
+
+        server = HttpServer(reply)
+        await server.start()
+        client = Client(HOST, server.port)
+        data = request("GET", "/", HOST, {})
+        with pytest.raises(TimeoutError):
+            await client.exchange(data, 0.05)
+        faults.fail(call, errno.ETIMEDOUT)
+        asked = asyncio.ensure_future(client.exchange(data, 5.0))
+        if call == "read":
+            await until(lambda: server.connections == 2)
+            await server.stop()
+        with pytest.raises(ConnectionError) as found:
+            await asked
+        assert not isinstance(found.value, TimeoutError) and faults.count[call] == 1
+        client.close()
+        await server.stop()
+
+    run_faulty(main)
+
+
+# Console
+
+
+@contextlib.asynccontextmanager
+async def console(loop: FaultyLoop, reply: Reply | OSError) -> AsyncIterator[Address]:
+    async def carry_out(call: ConsoleCall) -> Reply:
+        if isinstance(reply, OSError):
+            raise reply
+        return reply
+
+    served = Console(carry_out)
+    server = await loop.create_faulty_server(served.peer)
+    yield Address(HOST, int(server.sockets[0].getsockname()[1]))
+    served.close()
+    server.close()
+
+
+async def asked(loop: FaultyLoop, address: Address) -> tuple[int, dict[str, object]]:
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (address.host, address.port))
+        await loop.sock_sendall(sock, b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        said = await hear(sock, 1 << 16)
+    head, _, body = said.partition(b"\r\n\r\n")
+    return int(head.split()[1]), orjson.loads(body)
+
+
+@pytest.mark.parametrize("error", ACCEPT_ERRORS, ids=name_of)
+def test_the_console_answers_after_each_failure_to_accept(error: int) -> None:
+    """asyncio's own server: it rests for a second, or tells the loop of the error, and goes on."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with console(loop, Reply(200, "ready")) as address:
+            faults.fail("accept", error)
+            assert await asked(loop, address) == (200, {"ok": True, "says": "ready"})
+            assert faults.count["accept"] == 1
+        loop.unhandled.clear()  # asyncio logs these by way of the loop
+
+    run_faulty(main)
+
+
+def test_the_console_over_interrupted_short_reads_and_writes() -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with console(loop, Reply(200, "ready")) as address:
+            faults.most |= {"read": 1, "write": 1}
+            faults.fail("read", *[errno.EINTR] * 5)
+            faults.fail("write", *[errno.EINTR] * 5)
+            assert await asked(loop, address) == (200, {"ok": True, "says": "ready"})
+
+    run_faulty(main)
+
+
+@pytest.mark.parametrize("call", ["read", "write"])
+@pytest.mark.parametrize("error", BROKEN, ids=name_of)
+def test_a_callers_connection_that_breaks_ends_alone(error: int, call: str) -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with console(loop, Reply(200, "ready")) as address:
+            faults.fail(call, error)
+            with contextlib.suppress(OSError, IndexError):
+                await asked(loop, address)
+            assert faults.count[call] == 1
+            assert (await asked(loop, address))[0] == 200
+
+    run_faulty(main)
+
+
+def test_a_time_out_of_the_systems_is_a_fault_of_the_call() -> None:
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with console(loop, TimeoutError(errno.ETIMEDOUT, "Connection timed out")) as address:
+            status, said = await asked(loop, address)
+            assert status == 503 and str(said["says"]).startswith("failed: TimeoutError")
+
+    run_faulty(main)
