Wait out a local shortage for as long as the call has time, not for one connect

Cause. connect() waited for a descriptor or port within the limit of one connect (0.3 to 1 s) and then told that the call was not sent (MOOT). The module counts that as an attempt, so a shortage of some seconds used up the attempts of messages that had time left.

Change. connect() asks `on_shortage` whether to go on. HttpNextHops goes on until the call is given up, AmqpNextHops until the last call that waits for the connection is, and both tell MOOT then. Exchanges (notices, relays, status) go on within their connect limit, discovery until the watch drops the call.

--- a/mountgauge/amqp/next_hops.py
+++ b/mountgauge/amqp/next_hops.py
@@ -16,7 +16,7 @@
 from mountgauge.amqp.clients import KEY_HEADER
 from mountgauge.amqp.codec import AmqpError, Content, Method
 from mountgauge.amqp.link import FRAME_MAX, Link, State
-from mountgauge.connecting import connect
+from mountgauge.connecting import SHORTAGE_PAUSE, connect
 from mountgauge.core.ports import Call, CallOwner, Item, NextHop, Result
 from rillspindle.interface import Outcome
 
@@ -360,26 +360,28 @@
             if not ready.done():
                 ready.set_result(None)
 
-        short = False
+        tried_at = loop.time()
 
-        def on_shortage() -> None:
-            nonlocal short
-            short = True
-            for out in self._queued.get(hop.id, []):
+        def on_shortage() -> bool:
+            nonlocal tried_at
+            tried_at = loop.time() + SHORTAGE_PAUSE
+            waiting = self._queued.get(hop.id, [])
+            for out in waiting:
                 out.short = True
             self._close_an_idle_one()
+            return bool(waiting)  # until the last of them is given up
 
         link = BrokerLink(self._account(hop.id), on_ready, lost, self._finish, self._owner.admit)
         try:
-            async with asyncio.timeout(self._connect_timeout):
-                await connect(lambda: link, hop.host, hop.port, None, on_shortage)
+            await connect(lambda: link, hop.host, hop.port, self._connect_timeout, on_shortage)
+            async with asyncio.timeout_at(tried_at + self._connect_timeout):
                 await ready
         except OSError:
-            never = Outcome.MOOT if short and not link.written else Outcome.CONNECT_FAILED
             link.abort()
             self._opening.pop(hop.id, None)
             for out in self._queued.pop(hop.id, []):
-                out.results = {item.number: Result(never) for item in out.call.items}
+                failed = Result(Outcome.CONNECT_FAILED)
+                out.results = {item.number: failed for item in out.call.items}
                 self._finish(out)
             return
         link.place = (hop.host, hop.port)
--- a/mountgauge/connecting.py
+++ b/mountgauge/connecting.py
@@ -21,16 +21,15 @@
     host: str,
     port: int,
     limit: float | None,
-    on_shortage: Callable[[], None] = lambda: None,
+    on_shortage: Callable[[], bool] = lambda: True,
 ) -> None:
     """Connect, each try within `limit` (s); None: the caller gives it up.
 
-    A local shortage is waited out for as long, and `on_shortage` told of it each time, so that it may close
-    what it can do without; past that its error is raised. TimeoutError means that nothing came in time: where
-    the system reports ETIMEDOUT, that is a connection that broke.
+    A local shortage is told to `on_shortage`, which may close what it can do without and says whether to try
+    again after a pause; else its error is raised. TimeoutError means that nothing came in time: where the
+    system reports ETIMEDOUT, that is a connection that broke.
     """
     loop = asyncio.get_running_loop()
-    last_try = float("inf") if limit is None else loop.time() + limit - SHORTAGE_PAUSE
     while True:
         try:
             async with asyncio.timeout(limit) as within:
@@ -39,7 +38,6 @@
         except OSError as error:
             if isinstance(error, TimeoutError) and not within.expired():
                 raise ConnectionAbortedError(error.errno, "the system gave the connection up") from error
-            if not is_local_shortage(error) or loop.time() >= last_try:
+            if not is_local_shortage(error) or not on_shortage():
                 raise
-        on_shortage()
         await asyncio.sleep(SHORTAGE_PAUSE)
--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -384,7 +384,10 @@
         if connection is None or connection.state is not State.IDLE or not connection.silent:
             self.close()
             made = Connection(self._forget, self._most, self._rest)
-            await connect(lambda: made, self.host, self.port, connect_limit)
+            patient_until = loop.time() + connect_limit
+            await connect(
+                lambda: made, self.host, self.port, connect_limit, lambda: loop.time() < patient_until
+            )
             self._connection = connection = made
         answer: asyncio.Future[Message] = loop.create_future()
 
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from mountgauge.connecting import connect, is_local_shortage
+from mountgauge.connecting import connect
 from mountgauge.core.ports import Call, CallOwner, Item, NextHop, Result
 from mountgauge.http1 import Connection, Message, State, request, wait_s
 from rillspindle.interface import Outcome
@@ -192,15 +192,15 @@
     async def _connect(self, out: _Out, connection: Connection) -> None:
         hop = out.call.hop
 
-        def short() -> None:
+        def on_shortage() -> bool:
             out.short = True
             self._close_oldest_idle()
+            return True  # until the call is given up
 
         try:
-            await connect(lambda: connection, hop.host, hop.port, self._connect_timeout, short)
-        except OSError as error:
-            never = Outcome.MOOT if is_local_shortage(error) else Outcome.CONNECT_FAILED
-            self._finish(out, {item.number: Result(never) for item in out.call.items})
+            await connect(lambda: connection, hop.host, hop.port, self._connect_timeout, on_shortage)
+        except OSError:
+            self._finish(out, {item.number: Result(Outcome.CONNECT_FAILED) for item in out.call.items})
             return
         except asyncio.CancelledError:  # given up, before a byte was written
             if connection.state is not State.CONNECTING:
