Answer each request that was read, whatever ends its connection

ClientConnection._leave dropped its parser: whole commands that had been read and waited for their turn (past 64 unanswered ones, or behind a quantum) got the end of the connection for an answer. What came behind the end was read and thrown away (Drain), so that its client could not know that nobody had heard it. A turned away connection heard one -BUSY for all its pipelined requests, and Acceptor._scarce closed over unread bytes.

Commands that were read get -BUSY in their turn. Behind the end nothing is read: the transport looks for the peer's end alone, and the connection is kept until then, or for LINGER. Only behind bytes that are no command is what comes still thrown away. What is read of a connection that is turned away is counted and answered.

--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -50,7 +50,7 @@
         self._phase = 0.0
 
     async def listen(self, host: str, port: int) -> None:
-        self.listen_with(lambda: AmqpConnection(self), lambda: b"", host, port)
+        self.listen_with(lambda: AmqpConnection(self), lambda came: b"", host, port)
 
     def phase(self) -> float:
         """Of heartbeats: spread evenly, whoever connects when."""
--- a/mountgauge/amqp/connection.py
+++ b/mountgauge/amqp/connection.py
@@ -149,6 +149,9 @@
     def displace(self) -> None:
         self.abort()
 
+    def give_up_half(self) -> None:
+        self.abort()
+
     def turn_away(self, again_ms: int) -> None:
         self.abort()
 
--- a/mountgauge/clients/connection.py
+++ b/mountgauge/clients/connection.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from enum import IntEnum
 from typing import cast
 
-from mountgauge.clients.parser import RespError, RespParser
+from mountgauge.clients.parser import RespError, RespParser, count_whole
 from mountgauge.connections.admission import Activity
 from mountgauge.connections.connection import ConnectionTransport
 from mountgauge.connections.front import Front
 from mountgauge.connections.scheduler import QUANTUM, RESTED
 from mountgauge.connections.timer_wheel import FAR
+from mountgauge.log import kv
 from mountgauge.sockets import LINGER, Drain
 
+log = logging.getLogger("mountgauge.clients")
+
 _RECEIVE = bytearray(64 * 1024)  # shared: what arrives is copied out before the loop reads again
 _MOST_BAD = 16  # requests of one connection that were not understood; with the last one it is closed
+_LOOK_EVERY = 0.1  # s between two looks whether a client that is let go has ended
 _MOST_WAITING = 64  # unanswered requests of one connection; past them it is not read
 
 
@@ -39,14 +44,15 @@
 class Closing(IntEnum):
     """How far the end of a client's connection has come; `ClientConnection._leave` alone moves it on.
 
-    A request read past OPEN is neither taken on nor answered: its client sees the sending side shut behind
-    the last answer, and sends it again. With bytes left unread the close would be a reset, which may take
-    the last answers with it; so what comes is read and thrown away until the client has ended as well.
+    A request that has been read is answered: past OPEN by -BUSY, as it is not taken on. What comes later is
+    not read: its client sees the sending side shut behind the last answer, and sends it again. A close over
+    unread bytes is a reset, which may take the last answers with it; so it waits until the client has ended
+    as well. Behind bytes that are no command nothing can be told apart: those are read and thrown away.
     """
 
     OPEN = 0  # requests are heard
     ANSWERING = 1  # nothing more is heard; what was asked before is still answered
-    SHUT = 2  # all is said, the sending side is shut; it is read from until the client ends, or LINGER
+    SHUT = 2  # all is said, the sending side is shut; it is kept until the client ends, or LINGER
     CLOSED = 3
 
 
@@ -57,9 +63,9 @@
     """
 
     __slots__ = (
-        "_bad", "_choked", "_clients", "_drain", "_half_at", "_more", "_parser", "_paused", "_slots",
-        "_stage", "_transport", "_within", "activity", "due_at", "greeted", "handed_in", "heard_end", "since",
-        "tenant", "tick", "user", "woken",
+        "_bad", "_choked", "_clients", "_close_by", "_drain", "_half_at", "_more", "_parser", "_paused",
+        "_slots", "_stage", "_transport", "_within", "activity", "due_at", "greeted", "handed_in",
+        "heard_end", "since", "tenant", "tick", "user", "woken",
     )  # fmt: skip
 
     def __init__(self, clients: ClientFront) -> None:
@@ -70,7 +76,8 @@
         self._paused = self._choked = False
         self._more = False  # commands have come that wait for its next turn
         self._within = False  # it is reading
-        self._drain: Drain | None = None  # once nothing more is heard
+        self._drain: Drain | None = None  # once what comes can't be told apart
+        self._close_by = FAR  # once it is shut
         self._bad = 0
         self._half_at = FAR  # when the command began that is not whole
         self._stage = Closing.OPEN
@@ -145,7 +152,7 @@
             try:
                 args = self._parser.next()
             except RespError as error:  # what follows cannot be told apart any more
-                self.refuse(f"Protocol error: {error}")
+                self.refuse(f"Protocol error: {error}", spoilt=True)
                 return
             if args is None:
                 break
@@ -165,6 +172,9 @@
                     self.refuse(str(error), error.code)
                     return
                 self._fill(slot, f"-{error.code} {error}\r\n".encode())
+            except Exception as error:  # a fault costs this request, and no other its answer
+                log.exception("request-failed", extra=kv(error=error))
+                self._fill(slot, b"-ERR not carried out\r\n")
         self._keep(whole)
 
     def _keep(self, whole: bool) -> None:
@@ -191,8 +201,10 @@
         """Let go of who asks nothing: judged by whole commands, as bytes alone may trickle for ever."""
         times = self._clients.times
         if self.closing:
-            if not self._slots or self._choked:
-                self.abort()  # it does not read its last answers, or says no end of things
+            if self._stage is Closing.SHUT:
+                self._look_for_end(now)
+            elif self._choked:
+                self.abort()  # it does not read its last answers
         elif self._choked:
             self._clients.counts["clients", "unread"] += 1
             self.abort()
@@ -200,55 +212,95 @@
             return
         elif self._half_at < FAR and (not self.greeted or now - self._half_at >= times.half):
             self._clients.counts["clients", "halfway"] += 1
-            self.refuse("Protocol error: a command was not finished in time")
+            self.refuse("Protocol error: a command was not finished in time", spoilt=True)
         elif self._half_at < FAR:
             self._clients.registry.arm(self, self._half_at + times.half)
         else:
             self._clients.counts["clients", "idle" if self.greeted else "silent"] += 1
             self.close()
 
-    def refuse(self, why: str, code: str = "ERR") -> None:
-        """Say why, hear nothing more, and close once all that was asked before is answered."""
+    def refuse(self, why: str, code: str = "ERR", spoilt: bool = False) -> None:
+        """Say why, hear nothing more, and close once all that was asked before is answered.
+
+        `spoilt`: what follows cannot be told apart.
+        """
         if self.closing or self._transport is None:
             return
         self._slots.append(slot := Slot())
-        self._leave()
+        self._leave(spoilt)
         self._fill(slot, f"-{code} {why}\r\n".encode())
 
-    def _leave(self) -> None:
-        """The one way from OPEN to the end: hear nothing more, say what is owed, shut, read on, close."""
+    def _leave(self, spoilt: bool = False, told: int = 0) -> None:
+        """The one way from OPEN to the end: hear nothing more, say what is owed, shut, wait, close.
+
+        `told`: answers that have been said before their requests were read.
+        """
         transport = self._transport
         if transport is None:
             return
         if self._stage is Closing.OPEN:
             self._stage = Closing.ANSWERING
-            self._parser, self._half_at = None, FAR
-            self._clients.holds(self, 0)
+            self._turn_back_rest(spoilt)
             if not self.heard_end and not transport.is_closing():
-                self._drain = Drain(transport)
-                if self._paused:
-                    transport.resume_reading()
+                self._stop_reading(transport, spoilt)
         if self._stage is Closing.ANSWERING and not self._slots:
             self._stage = Closing.SHUT
             self._clients.set_activity(self, Activity.LEAVING)
             registry = self._clients.registry
-            registry.arm(self, registry.now() + LINGER)
+            self._close_by = registry.now() + LINGER
+            registry.arm(self, registry.now() + _LOOK_EVERY)
             if transport.is_closing():
                 return
             if self.heard_end:
                 transport.close()
             elif self._clients.may_linger():
                 transport.write_eof()
-            else:  # descriptors are short: what is there is read, what is on its way is not waited for
-                self._drop()
+            else:
+                self._drop(transport, told)
+
+    def _turn_back_rest(self, spoilt: bool) -> None:
+        """Commands that have been read and wait for their turn are answered, in theirs."""
+        parser, self._parser, self._half_at = self._parser, None, FAR
+        self._clients.holds(self, 0)
+        if parser is None or spoilt or not (count := parser.count_rest()):
+            return
+        content = self._clients.busy() * count
+        if self._slots:
+            self._slots.append(slot := Slot())
+            slot.content = content
+        else:
+            self.say(content)
+
+    def _stop_reading(self, transport: asyncio.Transport, spoilt: bool) -> None:
+        if spoilt:
+            self._drain = Drain(transport)
+            if self._paused:
+                transport.resume_reading()
+        elif isinstance(transport, ConnectionTransport):
+            transport.read_no_more()
+        elif not self._paused:
+            transport.pause_reading()
+
+    def _look_for_end(self, now: float) -> None:
+        """It is shut: once its client has ended, or in time, it is closed."""
+        transport, look_at = self._transport, self._close_by
+        ended = False
+        if isinstance(transport, ConnectionTransport) and not transport.hears_end:  # a request lies unread
+            ended = transport.peer_ended and not self._choked
+            look_at = min(look_at, now + _LOOK_EVERY)
+        if ended or now >= self._close_by:
+            self.abort()
+        else:
+            self._clients.registry.arm(self, look_at)
 
-    def _drop(self) -> None:
-        transport = self._transport
-        if transport is not None:
-            transport.write_eof()
-            if isinstance(transport, ConnectionTransport):
-                transport.discard()
-            transport.close()
+    def _drop(self, transport: asyncio.Transport, told: int) -> None:
+        """Descriptors are short: what is there is read and answered, what is on its way is not waited for."""
+        if isinstance(transport, ConnectionTransport):
+            came = transport.take(_RECEIVE)
+            if self._drain is None:
+                self.say(self._clients.busy() * (count_whole(memoryview(_RECEIVE)[:came]) - told))
+        transport.write_eof()
+        transport.close()
 
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends too many requests, is not read."""
@@ -307,6 +359,12 @@
         """Once what was asked is answered; between requests a sender may close."""
         self._leave()
 
+    def give_up_half(self) -> None:
+        if self._slots:
+            self.refuse("Protocol error: too much of a command that is not whole", spoilt=True)
+        else:
+            self.abort()
+
     def displace(self) -> None:
         if Activity.RESTING <= self.activity < Activity.LEAVING:
             self.close()
@@ -316,7 +374,7 @@
     def turn_away(self, again_ms: int) -> None:
         """No descriptor to spare: handing in again is harmless."""
         self.say(b"-BUSY %d\r\n" % again_ms)
-        self._leave()
+        self._leave(told=1)
 
     def abort(self) -> None:
         if self._transport is not None:
@@ -339,6 +397,10 @@
 
     letting_go: bool  # each connection is closed once what was asked on it is answered
 
+    def busy(self) -> bytes:
+        """The answer to a request that is not taken on: handing it in again is harmless."""
+        raise NotImplementedError
+
     def request(self, args: list[bytes], connection: ClientConnection, slot: Slot) -> None:
         """Carry a command out, whose answer goes into the slot; BadRequestError where it can't be."""
         raise NotImplementedError
--- a/mountgauge/clients/front.py
+++ b/mountgauge/clients/front.py
@@ -7,6 +7,7 @@
 
 from mountgauge.access import DEFAULT, Access
 from mountgauge.clients.connection import BadRequestError, ClientConnection, ClientFront, Slot
+from mountgauge.clients.parser import count_whole
 from mountgauge.connections.admission import Bounds
 from mountgauge.connections.registry import Registry
 from mountgauge.connections.settings import platform_settings
@@ -45,11 +46,14 @@
         self._deadlines = list(deadlines) or [math.inf] * len(grades)
 
     async def listen(self, host: str, port: int) -> None:
-        def full() -> bytes:
-            return b"-BUSY %d\r\n" % self.come_again()
+        def full(came: bytes) -> bytes:
+            return b"-BUSY %d\r\n" % self.come_again() * max(1, count_whole(came))
 
         self.listen_with(lambda: ClientConnection(self), full, host, port)
 
+    def busy(self) -> bytes:
+        return b"-BUSY %d\r\n" % self.come_again() if self.registry.sheds else b"-BUSY\r\n"
+
     def close_idle(self) -> None:
         self.close_each(ClientConnection.close)
 
--- a/mountgauge/clients/parser.py
+++ b/mountgauge/clients/parser.py
@@ -71,6 +71,16 @@
             if at:
                 del buffer[:at]
 
+    def count_rest(self) -> int:
+        """Read on to the end of what has come; how many whole commands that were."""
+        count = 0
+        try:
+            while self.next() is not None:
+                count += 1
+        except RespError:
+            pass  # what follows cannot be told apart
+        return count
+
     def _header(self, sign: bytes, most: int, at: int) -> tuple[int, int]:
         """The number on the line at `at`, -1 until it has come, and where the next one begins."""
         buffer = self._buffer
@@ -90,3 +100,10 @@
         if number > most:
             raise RespError("too long")
         return number, end + 2
+
+
+def count_whole(data: bytes | memoryview) -> int:
+    """How many whole commands bytes begin with that nothing came before."""
+    parser = RespParser()
+    parser.feed(data)
+    return parser.count_rest()
--- a/mountgauge/connections/acceptor.py
+++ b/mountgauge/connections/acceptor.py
@@ -20,6 +20,7 @@
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
 AT_ONCE = 8  # accepted in one turn, so that each is counted before many more come
 PAUSE = 0.05  # s without accepting once the process or the machine is out of something
+_MOST_READ = 64 * 1024  # bytes of one that is turned away for want of a descriptor
 _SCARCE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -31,7 +32,7 @@
         registry: Registry,
         make: Callable[[], asyncio.BufferedProtocol],
         times: Times,
-        full: Callable[[], bytes],
+        full: Callable[[bytes], bytes],
         counts: Counter[tuple[str, str]],
     ) -> None:
         self._registry, self._make, self._times = registry, make, times
@@ -112,14 +113,21 @@
                 pass
             else:
                 with sock:
-                    sock.setblocking(False)
-                    with contextlib.suppress(OSError):
-                        sock.send(self._full())
+                    self._turn_away(sock)
             self._keep_one_back()
         if self._sock is not None:
             self._loop.remove_reader(self._sock.fileno())
             self._pause = self._loop.call_later(PAUSE, self._resume)
 
+    def _turn_away(self, sock: socket.socket) -> None:
+        """What has come is read and answered: a close over unread bytes would reset the answer as well."""
+        sock.setblocking(False)
+        came = b""
+        with contextlib.suppress(OSError):
+            came = sock.recv(_MOST_READ)
+        with contextlib.suppress(OSError):
+            sock.send(self._full(came))
+
     def _resume(self) -> None:
         self._pause = None
         if self._spare < 0:
--- a/mountgauge/connections/connection.py
+++ b/mountgauge/connections/connection.py
@@ -12,14 +12,23 @@
 import os
 import select
 import socket
+from enum import IntEnum
 from typing import Any, Protocol
 
 from mountgauge.connections.system_calls import SystemCalls
 
 log = logging.getLogger("mountgauge.holding")
 
-_SINK, _SINKS = 256 * 1024, 4  # bytes thrown away at once, and how often
 _IN, _OUT = select.EPOLLIN, select.EPOLLOUT
+_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class Reading(IntEnum):
+    """What is done with bytes that come."""
+
+    PAUSED = 0
+    ON = 1
+    END_ONLY = 2  # nothing is read any more; the peer's end is still heard, unless bytes come before it
 
 
 class TransportOwner(Protocol):
@@ -46,7 +55,7 @@
         self._registry, self.fd = registry, fd
         self._protocol: asyncio.BufferedProtocol | None = protocol
         self._out: bytearray | None = None
-        self._reading, self._closing, self._eof = True, False, False
+        self._reading, self._closing, self._eof = Reading.ON, False, False
         self._mask = 0
         self._watch()
 
@@ -65,13 +74,30 @@
         return len(self._out) if self._out is not None else 0
 
     def pause_reading(self) -> None:
-        self._reading = False
+        self._reading = Reading.PAUSED
         self._watch()
 
     def resume_reading(self) -> None:
-        self._reading = True
+        self._reading = Reading.ON
+        self._watch()
+
+    def read_no_more(self) -> None:
+        """What comes from now on stays unread, so that its peer knows that nobody has heard it."""
+        self._reading = Reading.END_ONLY
         self._watch()
 
+    @property
+    def peer_ended(self) -> bool:
+        """Whether the peer has shut its sending side, or is gone, whatever lies unread before that."""
+        poll = select.poll()
+        poll.register(self.fd, select.POLLRDHUP)
+        return any(events & _ENDED for _, events in poll.poll(0))
+
+    @property
+    def hears_end(self) -> bool:
+        """Whether the protocol will be told of the peer's end."""
+        return self._reading is not Reading.PAUSED
+
     def write(self, data: bytes | bytearray | memoryview) -> None:
         if self._closing or self._eof or self._protocol is None or not data:
             return
@@ -97,14 +123,12 @@
         if self._out is None:
             self._shut()
 
-    def discard(self) -> None:
-        """Throw away what has come: a close over unread bytes is a reset, which the peer may hear first."""
+    def take(self, buffer: bytearray) -> int:
+        """Read what has come, as far as there is room: a close over unread bytes is a reset."""
         try:
-            for _ in range(_SINKS):
-                if not os.read(self.fd, _SINK):
-                    return
+            return self._registry.system_calls.read(self.fd, [buffer])
         except OSError:
-            pass  # nothing more there, or it is gone already
+            return 0  # nothing there, or it is gone already
 
     def close(self) -> None:
         if not self._closing:
@@ -142,6 +166,9 @@
         protocol = self._protocol
         if protocol is None:
             return
+        if self._reading is Reading.END_ONLY:
+            self._look_for_end(protocol)
+            return
         buffer = protocol.get_buffer(-1)
         try:
             count = self._registry.system_calls.read(self.fd, [buffer])
@@ -153,15 +180,31 @@
         try:
             if count:
                 protocol.buffer_updated(count)
-            elif protocol.eof_received():
-                self._reading = False  # the answers still go out
-                self._watch()
             else:
-                self.close()
+                self._ended_by_peer(protocol)
         except Exception:
             log.exception("connection-failed")
             self._end()
 
+    def _look_for_end(self, protocol: asyncio.BufferedProtocol) -> None:
+        try:
+            unread = self._registry.system_calls.peek(self.fd)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self._end()
+            return
+        if unread:
+            self.pause_reading()
+        else:
+            self._ended_by_peer(protocol)
+
+    def _ended_by_peer(self, protocol: asyncio.BufferedProtocol) -> None:
+        if protocol.eof_received():
+            self.pause_reading()  # the answers still go out
+        else:
+            self.close()
+
     def _flush(self) -> None:
         assert self._out is not None and self._protocol is not None
         try:
--- a/mountgauge/connections/front.py
+++ b/mountgauge/connections/front.py
@@ -45,8 +45,12 @@
         self.inherited: int | None = None  # a listening socket that this process was given
         registry.tables.append(self.admission.make_anew)
 
-    def listen_with(self, make: Callable[[], C], full: Callable[[], bytes], host: str, port: int) -> None:
-        """Accept from now on; `make` gives a protocol for each connection, `full` what one hears at most."""
+    def listen_with(
+        self, make: Callable[[], C], full: Callable[[bytes], bytes], host: str, port: int
+    ) -> None:
+        """Accept from now on; `make` gives a protocol for each connection, `full` what one without any hears
+        to what it has sent.
+        """
         maker: Any = make  # a front's connections are protocols, which a Protocol class can't say
         self._acceptor = Acceptor(self.registry, maker, self.times, full, self.counts)
         self.port = self._acceptor.listen(host, port, self.inherited)
@@ -105,7 +109,7 @@
         if most is not None:
             self.counts["clients", "buffers"] += 1
             self.registry.half.hold(most, 0)
-            most.abort()
+            most.give_up_half()
 
     def close_each(self, close: Callable[[C], None]) -> None:
         """Some in each turn of the loop: thousands at once would keep it from all else."""
--- a/mountgauge/connections/system_calls.py
+++ b/mountgauge/connections/system_calls.py
@@ -12,5 +12,13 @@
     read = staticmethod(os.readv)
     write = staticmethod(os.write)
 
+    def peek(self, fd: int) -> bool:
+        """Whether bytes wait to be read, which is left undone; False at the peer's end."""
+        of = socket.socket(fileno=fd)
+        try:
+            return bool(of.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        finally:
+            of.detach()
+
     def accept(self, listening: socket.socket) -> socket.socket:
         return listening.accept()[0]
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -32,6 +32,7 @@
         self._next: dict[str, deque[int]] = {}
         self._always: dict[str, int] = {}
         self.count = Counter[str]()  # failures, by call
+        self.moved = Counter[str]()  # bytes, by call
         self.most: dict[str, int] = {}  # bytes that one "read" or "write" moves
         self.after: dict[str, int] = {}  # bytes that "read" or "write" still moves before it fails
         self.on_failure: Callable[[], None] = lambda: None
@@ -80,7 +81,9 @@
     def read(self, fd: int, buffers: list[Any]) -> int:  # type: ignore[override]
         self.faults.strike("read")
         view = memoryview(buffers[0])
-        return os.readv(fd, [view[: self.faults.size("read", len(view))]])
+        count = os.readv(fd, [view[: self.faults.size("read", len(view))]])
+        self.faults.moved["read"] += count
+        return count
 
     def write(self, fd: int, data: Any) -> int:
         self.faults.strike("write")
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -13,6 +13,8 @@
 
 from mountgauge.console.calls import Call, Kind, Reply, read
 from mountgauge.console.duty import OFF_WITHIN, LameDuck, detached_read, detached_text
+from mountgauge.console.listener import Console
+from mountgauge.core.config import Address
 from mountgauge.http1 import HttpError, Parser
 from tests.helper import HOST, run, until
 from tests.test_process import Platform
@@ -163,6 +165,25 @@
         await self.platform.stop()
 
 
+def test_a_call_that_is_under_way_at_the_end_is_answered() -> None:
+    async def main() -> None:
+        begun = asyncio.Event()
+
+        async def carry_out(call: Call) -> Reply:
+            begun.set()
+            await asyncio.sleep(60)
+            return Reply(200, "late")
+
+        console = Console(carry_out)
+        await console.listen(Address(HOST, 0))
+        asked = asyncio.ensure_future(call(console.port, "POST", "/_lameduck/off"))
+        await begun.wait()
+        console.close()
+        assert await asked == (503, {"ok": False, "says": "the sender stops"})
+
+    run(main())
+
+
 def test_waits_in_the_shared_form() -> None:
     from mountgauge.core.shared_waits import decode, encode, merge
 
