--- a/mountgauge/amqp/next_hops.py
+++ b/mountgauge/amqp/next_hops.py
@@ -23,6 +23,7 @@
 from mountgauge.amqp.clients import KEY_HEADER
 from mountgauge.amqp.codec import AmqpError, Content, Method
 from mountgauge.amqp.link import FRAME_MAX, Link, State
+from mountgauge.connecting import SHORTAGE_PAUSE, connect
 from mountgauge.core.ports import Call, CallOwner, Item, NextHop, Result
 from rillspindle.interface import Outcome
 
@@ -62,6 +63,8 @@
     going: list[Item] = field(default_factory=list)
     tags: dict[int, Item] = field(default_factory=dict)
     results: dict[int, Result] = field(default_factory=dict)
+    last_byte: int = 0  # its place in all that its connection has written
+    short: bool = False  # this machine had no descriptor or port for it, which says nothing of its broker
 
 
 @dataclass(slots=True, eq=False)
@@ -116,11 +119,10 @@
         self.channels.clear()
         self._lost()
         for out in outs:
-            # Published and not confirmed: it may have taken effect, unless its last byte never left.
-            outcome = Outcome.RESET if self.flushed or not out.tags else Outcome.CONNECT_FAILED
-            if not out.going:
-                outcome = Outcome.CONNECT_FAILED
-            self._fill(out, Result(outcome))
+            # Published and not confirmed: it may have taken effect, unless its last byte never left. Of what
+            # was still unwritten that is sure of the last bytes alone.
+            never = not out.going or (not self.flushed and out.last_byte == self.written)
+            self._fill(out, Result(Outcome.CONNECT_FAILED if never else Outcome.RESET))
 
     def _fill(self, out: _Out, result: Result) -> None:
         for item in out.going or out.call.items:
@@ -302,6 +304,7 @@
                 mandatory=True,
             )
             data += codec.content(channel.number, properties, item.body, self.frame_max)
+        out.last_byte = self.written + len(data)
         self.send(data)
 
     def _confirmed(self, channel: _Channel, tag: int, multiple: bool, acked: bool) -> None:
@@ -395,6 +398,9 @@
         """Descriptors are bounded: a connection without a call goes before a call stays behind."""
         if len(self._links) + len(self._opening) < self._most:
             return True
+        return self._close_an_idle_one()
+
+    def _close_an_idle_one(self) -> bool:
         idle = next((hop_id for hop_id, link in self._links.items() if not link.busy), None)
         if idle is not None:
             self.close_idle(idle)
@@ -416,12 +422,23 @@
                 ready.set_result(None)
 
         order = next(self._orders)
+        tried_at = loop.time()
+
+        def on_shortage() -> bool:
+            nonlocal tried_at
+            tried_at = loop.time() + SHORTAGE_PAUSE
+            waiting = self._queued.get(target, [])
+            for out in waiting:
+                out.short = True
+            self._close_an_idle_one()
+            return bool(waiting)  # until the last of them is given up
+
         link = BrokerLink(target, order, on_ready, lost, self._finish, self._owner.admit)
         try:
-            async with asyncio.timeout(self._connect_timeout):
-                await loop.create_connection(lambda: link, target.host, target.port)
+            await connect(lambda: link, target.host, target.port, self._connect_timeout, on_shortage)
+            async with asyncio.timeout_at(tried_at + self._connect_timeout):
                 await ready
-        except (OSError, TimeoutError):
+        except OSError:
             link.abort()
             self._opening.pop(target, None)
             for out in self._queued.pop(target, []):
@@ -462,7 +479,8 @@
         out = self._out.get(call)
         if out is None:
             return
-        never = Outcome.MOOT if outcome == Outcome.CANCELLED else Outcome.CONNECT_FAILED
+        moot = out.short or outcome == Outcome.CANCELLED
+        never = Outcome.MOOT if moot else Outcome.CONNECT_FAILED
         result = Result(outcome if out.going else never)
         for item in out.going or call.items:
             out.results.setdefault(item.number, result)
