--- a/tests/crossings/test_drains.py
+++ b/tests/crossings/test_drains.py
@@ -628,7 +628,12 @@
     run(main())
 
 
-def test_a_look_that_fails_is_not_the_last_one(caplog: pytest.LogCaptureFixture) -> None:
+@pytest.mark.parametrize(("error", "told"), [
+    (OSError("the folder cannot be read"), "folder-not-read"), (RuntimeError("a fault"), "look-failed"),
+])  # fmt: skip
+def test_a_look_that_fails_is_not_the_last_one(
+    error: Exception, told: str, caplog: pytest.LogCaptureFixture
+) -> None:
     async def main() -> None:
         looks = itertools.count(1)
         found = list[int]()
@@ -636,11 +641,11 @@
         def look() -> None:
             found.append(next(looks))
             if len(found) == 1:
-                raise OSError("the folder cannot be read")
+                raise error
 
         task = asyncio.get_running_loop().create_task(serve._looking(look))
         await until(lambda: len(found) == 3)
         task.cancel()
-        assert [record.message for record in caplog.records] == ["look-failed"]
+        assert [record.message for record in caplog.records] == [told]
 
     run(main())
