--- a/mountgauge/console/service.py
+++ b/mountgauge/console/service.py
@@ -12,11 +12,13 @@
 from mountgauge.connections.registry import Registry
 from mountgauge.console.calls import Call, Kind, Reply
 from mountgauge.console.duty import LameDuck, detached_read, detached_text
+from mountgauge.core.files import Files, SystemFiles
 from mountgauge.core.sender import Sender
 from mountgauge.log import kv
 
 log = logging.getLogger("mountgauge.console")
 
+_NO_FILE = (0, 0)  # its size and time
 _LOOK_EVERY = 0.05  # s, while waiting for the drain to end
 
 
@@ -30,7 +32,9 @@
         registry: Registry,
         folder: Path,
         ready: Callable[[], bool],
+        files: Files | None = None,
     ) -> None:
+        self._files = files or SystemFiles()
         self.sender, self.front, self.registry, self.ready = sender, front, registry, ready
         self.path = folder / "detached"
         self._own = folder / f"detached.{os.getpid()}"
@@ -41,17 +45,20 @@
     # The detached endpoints, kept in the state folder for the process that comes next
 
     def look(self) -> None:
-        """Read the file again where another process of this sender has changed it."""
+        """Read the file again where another process of this sender has changed it. While that fails, what is
+        known holds.
+        """
         try:
             stat = self.path.stat()
-        except FileNotFoundError:
-            seen, content = (0, 0), b""
-        else:
             seen = (stat.st_size, stat.st_mtime_ns)
             if seen == self._seen:
                 return
-            content = self.path.read_bytes()
-        if seen == self._seen:
+            content = self._files.read(self.path)
+        except FileNotFoundError:
+            self._write_anew()
+            return
+        except OSError as error:
+            log.warning("detached-not-read", extra=kv(error=error))
             return
         self._seen = seen
         try:
@@ -59,6 +66,19 @@
         except ValueError as error:
             log.error("detached-not-read", extra=kv(error=error, kept=",".join(sorted(self.sender.detached))))
 
+    def _write_anew(self) -> None:
+        """No process removes the file: where it is missing, nobody was taken out yet, or the folder was
+        emptied, which puts nobody back.
+        """
+        before, self._seen = self._seen, _NO_FILE
+        if not self.sender.detached:
+            return
+        try:
+            self._write(set(self.sender.detached))
+        except OSError as error:
+            if before != _NO_FILE:
+                log.error("detached-not-kept", extra=kv(error=error))
+
     def _write(self, detached: set[str]) -> None:
         self._own.write_bytes(detached_text(detached))
         os.replace(self._own, self.path)
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from mountgauge.connecting import connect
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.http1 import Connection, Message, State, request
 from mountgauge.log import kv
@@ -46,16 +47,14 @@
     def begin(self, kept: Connection | None) -> None:
         """Ask on the kept connection, or dial."""
         if kept is not None:
-            self._ask(kept)
+            self._ask_if_needed(kept)
         else:
             self._dial = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
         connection = Connection(self._discovery.lost, MOST_LIST_BYTES, MOST_REST_S)
         try:
-            await asyncio.get_running_loop().create_connection(
-                lambda: connection, self._address.host, self._address.port
-            )
+            await connect(lambda: connection, self._address.host, self._address.port, limit=None)
         except OSError as error:
             self._discovery.failed(self, Failure.REFUSED, f"{type(error).__name__}: {error}")
             return
@@ -66,7 +65,13 @@
         if connection.state is not State.IDLE:
             self._discovery.failed(self, Failure.REFUSED, "the connection broke at once")
             return
-        self._ask(connection)
+        self._ask_if_needed(connection)
+
+    def _ask_if_needed(self, connection: Connection) -> None:
+        if self._discovery.connected(self):
+            self._ask(connection)
+        else:
+            connection.close()
 
     def _ask(self, connection: Connection) -> None:
         self._connection = connection
@@ -174,6 +179,14 @@
 
     # What the exchanges tell
 
+    def connected(self, exchange: ListExchange) -> bool:
+        """The connection of a call has come up; whether it is to ask."""
+        asks = self._watch.connected(exchange.call, self._now())
+        if not asks:
+            self._exchanges.pop(exchange.call, None)
+        self._wake_in_time()
+        return asks
+
     def answered(self, exchange: ListExchange, message: Message, connection: Connection) -> None:
         """A whole answer has come."""
         if self._exchanges.pop(exchange.call, None) is None:
@@ -185,7 +198,7 @@
             failure = Failure.SPOILT if message.status == 200 else Failure.REFUSED
             self._fail(exchange.call, failure, str(error))
             return
-        if self._watch.answered(exchange.call, update.version, self._now()):
+        if self._watch.answered(exchange.call, update.version, self._now(), update.incomplete):
             self._take_in(update)
         self._step()
 
@@ -235,6 +248,9 @@
         for call in step.make:
             exchange = self._exchanges[call] = ListExchange(self, call, self._address)
             exchange.begin(self._take_kept())
+        self._wake_in_time()
+
+    def _wake_in_time(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- /dev/null
+++ b/tests/crossings/test_drains.py
@@ -0,0 +1,651 @@
+"""Where a drain crosses something else on its way to the last look: each is forced by what a peer has read,
+or by steps of the loop between which nothing else runs.
+
+A real core with its journal, discovery's map and next hops on loopback sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import signal
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from mountgauge.amqp import codec
+from mountgauge.amqp.next_hops import AmqpNextHops
+from mountgauge.core import drain_memory
+from mountgauge.core.config import Address, MapUpdate, Names
+from mountgauge.core.journal import Journal
+from mountgauge.core.ports import Answer, Call, End, Item, Submission
+from mountgauge.core.sender import Sender
+from mountgauge.http1 import Message, response
+from mountgauge.next_hops import HttpNextHops
+from mountgauge.operator_file import Operator, load
+from mountgauge.platform.discovery import TransportMap
+from mountgauge.run import serve
+from mountgauge.run.base import LoopClock
+from rillspindle import Policy
+from tests import helper
+from tests.crossings.test_watches import Discovery
+from tests.helper import HOST, Broker, HttpHop, run, until
+from tests.settings import grade, settings
+from tests.test_console import call as console_call
+from tests.test_console import free_port
+from tests.test_peers import bounds
+from tests.test_process import Platform
+
+NAMES = Names(("safe",), ("near", "far"), ("one", "many"))
+GRACE = 0.25 + 0.05  # s after which nothing may leave; what is told here is told long before
+MOST_CALLS = 16  # at once to one destination: half of the slots
+NOTHING_KNOWN = MapUpdate(-1, True, ())
+
+
+class HeldBroker(Broker):
+    """Reads nothing more from the first method named `hold_at` on, until it is let go on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hold_at = ""
+        self.held, self.go_on = asyncio.Event(), asyncio.Event()
+
+    async def start(self) -> None:
+        await super().start()
+        assert self._server is not None
+        for sock in self._server.sockets:  # little of what it does not read is on the way to it
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        whole = reader.readexactly
+
+        async def readexactly(count: int) -> bytes:
+            data = await whole(count)
+            if count != 7 and data[-1] == codec.FRAME_END and self.hold_at:  # 7: a frame's head
+                with contextlib.suppress(codec.AmqpError):
+                    if codec.decode_method(data[:-1]).name == self.hold_at:
+                        self.held.set()
+                        await self.go_on.wait()
+            return data
+
+        setattr(reader, "readexactly", readexactly)  # noqa: B010
+        await super().serve(reader, writer)
+
+
+class World:
+    """A sender that watches a scripted discovery, and endpoints that note what they are sent."""
+
+    next_hops: HttpNextHops | AmqpNextHops
+
+    def __init__(self, folder: Path, endpoints: int = 1, protocol: str = "http") -> None:
+        self.folder, self.discovery, self.protocol = folder, Discovery(), protocol
+        self.hops = [HttpHop() if protocol == "http" else HeldBroker() for _ in range(endpoints)]
+        self.numbers = itertools.count()
+        self.answers: list[Answer] = []
+
+    known = NOTHING_KNOWN
+
+    async def __aenter__(self) -> World:
+        for server in (self.discovery, *self.hops):
+            await server.start()
+        self.sender = self.make_sender()
+        self.sender.start(self.known)
+        return self
+
+    def make_sender(self) -> Sender:
+        extra = {**settings()["extra"], "workers": 32}
+        env = settings(grades=[grade(aim=8.0)], discovery="subscribe", extra=extra)
+        self.journal = Journal(self.folder, 100_000_000)
+        sender = Sender(Policy(env, 1), NAMES, self.journal, LoopClock(), {"platform": self})
+        self.map = TransportMap(sender, Address(HOST, self.discovery.port), NAMES, bounds(30.0))
+        if self.protocol == "http":
+            self.next_hops = HttpNextHops(sender, 4.0, 5.0, 16)
+        else:
+            self.next_hops = AmqpNextHops(sender, 4.0, 60.0, 16, {})
+        sender.map, sender.next_hops = self.map, self.next_hops
+        return sender
+
+    async def __aexit__(self, *_: object) -> None:
+        self.sender.stop()
+        self.map.close()
+        self.next_hops.close()
+        for server in (self.discovery, *self.hops):
+            await server.stop()
+        await asyncio.sleep(0)
+        self.journal.close()
+
+    def tell(self, msg_id: str, end: End, told: Any) -> None:
+        told()
+
+    def line(self, state: str, hop: int = 0, **fields: Any) -> dict[str, Any]:
+        return {"id": f"e{hop}", "addr": f"{HOST}:{self.hops[hop].port}", "zone": "near", "kind": "one",
+                "cell": 7, "state": state, "weight": 1.0, "started_ms": 0, **fields}  # fmt: skip
+
+    async def told(self, call: int, version: int, full: bool, *lines: dict[str, Any]) -> None:
+        """Discovery answers its call of this number; the answer has been taken in when this returns."""
+        writer = await self.discovery.called(call)
+        body = orjson.dumps({"version": version, "full": full, "servers": lines})
+        writer.write(response(200, "OK", {}, body))
+        await until(lambda: len(self.discovery.paths) > call)
+
+    def broker(self, hop: int = 0) -> HeldBroker:
+        found = self.hops[hop]
+        assert isinstance(found, HeldBroker)
+        return found
+
+    def submit(self, body: bytes = b"x") -> str:
+        name = f"m{next(self.numbers)}"
+        one = Submission(name, 0, 8.0, 7, "", body, "platform", self.answers.append, lambda: True)
+        self.sender.submit(one)
+        return name
+
+    async def quiet(self) -> None:
+        """A message is taken on, and none of its bytes leave while the grace passes."""
+        calls, count = [len(hop.calls) for hop in self.hops], len(self.answers)
+        self.submit()
+        await until(lambda: len(self.answers) > count)
+        await asyncio.sleep(GRACE)
+        assert [len(hop.calls) for hop in self.hops] == calls, "sent to a draining or removed endpoint"
+
+    async def sent(self, hop: int = 0) -> None:
+        count = len(self.hops[hop].calls)
+        self.submit()
+        await until(lambda: len(self.hops[hop].calls) > count)
+
+
+@pytest.mark.parametrize("state", ["leaving", "left", "absent"])
+@pytest.mark.parametrize("full", [True, False])
+def test_an_older_list_does_not_bring_back_what_a_newer_one_took_out(
+    tmp_path: Path, state: str, full: bool
+) -> None:
+    """Discovery's other replica lags behind: its list is of a version from before the drain."""
+
+    async def main() -> None:
+        async with World(tmp_path, 2) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            if state == "absent":
+                await world.told(2, 50, True, world.line("leaving", 1))
+            else:
+                await world.told(2, 50, False, world.line(state))
+            await world.quiet()
+            await world.told(3, 45, full, world.line("active"))
+            await world.quiet()
+            assert world.discovery.paths[3].startswith("/registry/instances?index=45&"), "asked on from there"
+            await world.told(4, 50, False, world.line("active"))  # as new as the drain: it is back
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def test_an_older_list_after_a_move_of_discovery_does_not_bring_back_a_drained_endpoint(
+    tmp_path: Path,
+) -> None:
+    """SIGHUP moves discovery, and the whole list of the new address is of an older version."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("leaving"))
+            other = Discovery()
+            await other.start()
+            old, world.discovery = world.discovery, other
+            world.map.move(Address(HOST, other.port))
+            await world.told(1, 45, True, world.line("active"))
+            await world.quiet()
+            await world.told(2, 51, False, world.line("active"))
+            await until(lambda: len(world.hops[0].delivered) == 1)
+            await old.stop()
+
+    run(main())
+
+
+def test_a_drain_that_a_new_process_knows_from_the_last_one_holds_against_an_older_list(
+    tmp_path: Path,
+) -> None:
+    """The `known` list of a restart or a hand-over counts as any other."""
+
+    async def main() -> None:
+        world = World(tmp_path)
+        world.hops[0].port = free_port()
+        raw = {"version": 50, "full": True, "servers": [world.line("leaving")]}
+        world.known = NAMES.update(raw)
+        async with world:
+            await world.told(1, 45, True, world.line("active"))
+            await world.quiet()
+            await world.told(2, 50, False, world.line("active"))
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def test_versions_that_begin_anew_for_good_bring_an_endpoint_back_in_bounded_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing newer contradicts the lower versions any more: after the bound they are believed."""
+    monkeypatch.setattr(drain_memory, "WITHHELD_FOR_S", 2 * GRACE)
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("leaving"))
+            began = asyncio.get_running_loop().time()
+            await world.told(3, 1, True, world.line("active"))
+            world.submit()
+            await until(lambda: world.hops[0].delivered)
+            assert world.hops[0].calls[0][0] >= began + drain_memory.WITHHELD_FOR_S
+            await world.told(4, 2, False, world.line("leaving"))  # the new count's drains hold at once
+            await world.quiet()
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["leaving", "left", "active"])
+def test_an_id_that_one_update_tells_as_active_and_as_draining_is_draining(
+    tmp_path: Path, first: str
+) -> None:
+    """Nothing says which of the two entries is the newer one."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            second = "active" if first != "active" else "leaving"
+            await world.told(2, 41, False, world.line(first), world.line(second))
+            await world.quiet()
+            await world.told(3, 41, True, world.line("active"))  # the whole list has the last word
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def test_an_id_back_at_a_new_address_is_another_endpoint_and_the_old_place_stays_gone(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with World(tmp_path, 2) as world:
+            moved = {**world.line("active", 1), "id": "e0"}
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await world.told(2, 50, False, world.line("left"), moved)
+            await world.sent(1)
+            await world.told(3, 45, True, world.line("active"))  # where it was
+            await world.quiet()
+            await world.told(4, 51, True, moved)
+            await until(lambda: len(world.hops[1].delivered) == 2)
+            assert len(world.hops[0].delivered) == 1
+
+    run(main())
+
+
+def test_an_id_back_under_a_new_destination_gets_nothing_of_the_old_ones(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await world.told(2, 50, False, world.line("active", cell=8))
+            await world.quiet()
+            await world.told(3, 45, True, world.line("active"))
+            await world.quiet()
+
+    run(main())
+
+
+def test_an_entry_that_cannot_be_read_stops_what_goes_to_its_endpoint(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.told(2, 50, False, world.line("odd"))
+            await world.quiet()
+            await world.told(3, 45, True, world.line("active"))
+            await world.quiet()
+            await world.told(4, 50, True, world.line("active"))
+            await until(lambda: world.hops[0].delivered)
+
+    run(main())
+
+
+def drained_at_the_start(world: World, before: bool) -> None:
+    """The step that starts the next call also hears the drain, before or after it."""
+    start = world.next_hops.start
+    drain = NAMES.update({"version": 50, "full": False, "servers": [world.line("leaving")]})
+
+    def started(call: Call) -> None:
+        if before:
+            world.sender.list_changed(drain)
+        start(call)
+        if not before:
+            world.sender.list_changed(drain)
+
+    setattr(world.next_hops, "start", started)  # noqa: B010
+
+
+@pytest.mark.parametrize("protocol", ["http", "amqp"])
+def test_a_dial_that_comes_up_after_the_drain_carries_nothing(tmp_path: Path, protocol: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol=protocol) as world:
+            await world.told(1, 40, True, world.line("active"))
+            drained_at_the_start(world, before=False)
+            world.submit()
+            await until(lambda: world.hops[0].connections == 1)
+            await asyncio.sleep(GRACE)
+            assert not world.hops[0].calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("protocol", ["http", "amqp"])
+def test_a_connection_that_stands_carries_nothing_after_the_drain(tmp_path: Path, protocol: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol=protocol) as world:
+            await world.told(1, 40, True, world.line("active"))
+            await world.sent()
+            await until(lambda: not world.sender.calls)
+            drained_at_the_start(world, before=True)
+            await world.quiet()
+
+    run(main())
+
+
+def test_a_batch_that_messages_joined_before_the_drain_is_not_sent(tmp_path: Path) -> None:
+    """They join in one turn, for an endpoint that the module chose before it heard of the drain."""
+
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            read, sizes = list[Message](), list[int]()
+
+            async def reply(message: Message) -> bytes | None:
+                read.append(message)
+                return None
+
+            setattr(world.hops[0], "reply", reply)  # noqa: B010
+            await world.told(1, 40, True, world.line("active", kind="many"))
+            drained_at_the_start(world, before=False)
+            start = world.next_hops.start
+
+            def started(call: Call) -> None:
+                sizes.append(len(call.items))
+                start(call)
+
+            setattr(world.next_hops, "start", started)  # noqa: B010
+            for _ in range(3):
+                world.submit()
+            await until(lambda: world.hops[0].connections == 1)
+            await asyncio.sleep(GRACE)
+            assert sizes == [3] and not read
+
+    run(main())
+
+
+def test_a_parked_call_looks_again_when_it_is_released(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with World(tmp_path) as world:
+            await world.told(1, 40, True, world.line("active"))
+            fresh = False
+            world.sender.fresh = lambda: fresh
+            world.submit()
+            await until(lambda: world.sender.attempts.parked)
+            await world.told(2, 50, False, world.line("leaving"))
+            fresh = True
+            world.sender.release()
+            await asyncio.sleep(GRACE)
+            assert not world.hops[0].calls and not world.sender.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("step", ["connection.start-ok", "connection.open", "channel.open", "confirm.select"])
+def test_a_drain_while_a_broker_opens_its_connection_or_channel(tmp_path: Path, step: str) -> None:
+    async def main() -> None:
+        async with World(tmp_path, protocol="amqp") as world:
+            broker = world.broker()
+            broker.hold_at = step
+            await world.told(1, 40, True, world.line("active"))
+            world.submit()
+            await broker.held.wait()
+            await world.told(2, 50, False, world.line("leaving"))
+            broker.hold_at = ""
+            broker.go_on.set()
+            await until(lambda: not world.sender.calls)
+            await world.quiet()
+            assert not broker.calls
+
+    run(main())
+
+
+def test_a_broker_that_moves_while_its_connection_opens_gets_nothing_at_the_old_address(
+    tmp_path: Path,
+) -> None:
+    """Calls for the new address waited for the connection that was being made to the old one."""
+
+    async def main() -> None:
+        async with World(tmp_path, 2, "amqp") as world:
+            old, new = world.broker(0), world.broker(1)
+            old.hold_at = "connection.open"
+            await world.told(1, 40, True, world.line("active"))
+            world.submit()
+            await old.held.wait()
+            await world.told(2, 50, False, {**world.line("active", 1), "id": "e0"})
+            world.submit()
+            await until(lambda: world.sender.calls == 2 or new.calls)
+            old.go_on.set()
+            await until(lambda: len(old.calls) + len(new.calls) >= 2)
+            assert not old.calls and len(new.calls) == 2
+            await world.sent(1)
+            assert not old.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("unread", [1, MOST_CALLS - 1])
+def test_a_publish_does_not_wait_behind_bytes_that_a_broker_does_not_read(
+    tmp_path: Path, unread: int
+) -> None:
+    """The late one was written behind what the broker had not taken yet: its first byte left when the broker
+    went on reading, long after the drain. One call fits into what the system keeps, all of them don't.
+    """
+
+    async def main() -> None:
+        async with World(tmp_path, protocol="amqp") as world:
+            broker = world.broker()
+            await world.told(1, 40, True, world.line("active"))
+            for _ in range(MOST_CALLS):  # at once: so many channels stand from now on
+                world.submit()
+            await until(lambda: len(broker.calls) == MOST_CALLS and not world.sender.calls)
+            broker.hold_at = "basic.publish"
+            sent = [world.submit(b"x" * 900_000) for _ in range(unread)]
+            await until(lambda: world.sender.calls == len(sent))
+            late = world.submit()
+            await until(lambda: world.sender.calls == len(sent) + 1)
+            await world.told(2, 50, False, world.line("leaving"))
+            assert len(broker.calls) == MOST_CALLS
+            broker.hold_at = ""
+            broker.go_on.set()
+            await until(lambda: not world.sender.calls)
+            assert late not in [call[1] for call in broker.calls]
+            assert sent[0] in [call[1] for call in broker.calls], "what had begun goes on"
+
+    run(main())
+
+
+def take_out(folder: Path, *ids: str) -> None:
+    """As another process of the sender writes down what operators took out."""
+    (folder / "detached.new").write_bytes(orjson.dumps(ids))
+    os.replace(folder / "detached.new", folder / "detached")
+
+
+def test_an_endpoint_that_another_process_takes_out_is_out_for_one_that_is_ending(tmp_path: Path) -> None:
+    """SIGTERM ended its looks at the file, while its clients were served for 2.2 s more."""
+
+    async def main() -> None:
+        platform, console = Platform(tmp_path), free_port()
+        process = await platform.start(GW_CONSOLE=f"{HOST}:{console}")
+        await until(platform.pings)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(2.0):
+            while (await console_call(console, "GET", "/_ready"))[0] == 200:
+                await asyncio.sleep(0.005)
+        take_out(tmp_path / "state", "e")
+        await asyncio.sleep(GRACE)
+        assert await platform.send(("a", "safe")) == [b"+OK\r\n"]
+        assert await process.wait() == 0
+        assert not platform.hooks
+        await platform.stop()
+
+    run(main())
+
+
+def test_what_operators_took_out_stays_out_where_the_folder_is_emptied(tmp_path: Path) -> None:
+    async def main() -> None:
+        platform, console = Platform(tmp_path), free_port()
+        process = await platform.start(GW_CONSOLE=f"{HOST}:{console}")
+        await until(platform.pings)
+        async with asyncio.timeout(4.0):
+            while (await reply(console, "/_endpoints/detach")) != 200:
+                await asyncio.sleep(0.005)
+        (tmp_path / "state" / "detached").unlink()
+        await asyncio.sleep(GRACE)
+        assert await platform.send(("a", "safe")) == [b"+OK\r\n"]
+        await asyncio.sleep(GRACE)
+        assert not platform.hooks
+        assert orjson.loads((tmp_path / "state" / "detached").read_bytes()) == ["e"], "for the next process"
+        assert await reply(console, "/_endpoints/attach") == 200
+        await until(lambda: platform.delivered == ["a"])
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        await platform.stop()
+
+    async def reply(console: int, path: str) -> int:
+        try:
+            return (await console_call(console, "POST", path, b'{"who":"e"}'))[0]
+        except ConnectionError:
+            return 0
+
+    run(main())
+
+
+def test_what_operators_took_out_is_out_before_a_process_sends_what_the_last_one_left(tmp_path: Path) -> None:
+    """Beside another process it waits for that one's waits first, and sent meanwhile."""
+
+    async def main() -> None:
+        extra = f'[console]\nlisten = "{HOST}:{free_port()}"\n'
+        async with helper.World(tmp_path, "http", extra=extra) as world:
+            hop = world.hops[0]
+            hop.script = ["silent"]
+            assert await world.client.take("a") is None
+            await until(lambda: len(hop.calls) == 1)
+            beside = Journal(tmp_path / "state", 1_000_000)  # its slot comes after this process's
+            await world.client.close()
+            await world.kill()
+            take_out(tmp_path / "state", "h0")
+            hop.script = ["ok"]
+            await world.start()
+            assert world.runtime.journal.others
+            await asyncio.sleep(GRACE)
+            assert len(hop.calls) == 1
+            beside.close()
+
+    run(main())
+
+
+def test_an_operators_file_that_changes_before_it_is_watched_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The file's stamp was taken after it was read: the change in between was never seen."""
+
+    async def main() -> None:
+        world = helper.World(tmp_path, "http")
+
+        def loaded(path: Path) -> Operator:
+            found = load(path)
+            world.states = ["leaving"]
+            world.write()
+            return found
+
+        monkeypatch.setattr(helper, "load", loaded)
+        async with world:
+            await asyncio.sleep(GRACE)
+            assert await world.client.take("a") is None
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "content", [b"\xff", b"[[next_hop]]\nid = ", b"next_hop = 7", b"a=" + b"[" * 5000, b"a=" + b"1" * 5000]
+)
+def test_an_operators_file_that_cannot_be_read_is_looked_at_again(
+    tmp_path: Path, content: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def main() -> None:
+        async with helper.World(tmp_path, "http") as world:
+            world.file.write_bytes(content)
+            await until(lambda: "file-not-read" in [record.message for record in caplog.records])
+            world.states = ["leaving"]
+            world.write()
+            await asyncio.sleep(GRACE)
+            assert await world.client.take("a") is None
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize("where", ["file", "detached"])
+def test_a_process_that_is_paused_just_before_the_last_look_sends_nothing_to_what_drained_meanwhile(
+    tmp_path: Path, where: str
+) -> None:
+    """The look after a pause is made within the last look, which had seen the endpoint as active before."""
+
+    async def main() -> None:
+        extra = f'[console]\nlisten = "{HOST}:{free_port()}"\n'
+        async with helper.World(tmp_path, "http", extra=extra) as world:
+            admit, paused = world.runtime.sender.admit, list[str]()
+
+            def late(call: Call, items: list[Item]) -> list[Item]:
+                if not paused:
+                    paused.append(call.hop.id)
+                    if where == "file":
+                        world.states = ["leaving"]
+                        world.write()
+                    else:
+                        take_out(tmp_path / "state", "h0")
+                    time.sleep(0.6)  # as SIGSTOP and SIGCONT would: no other step of the loop comes between
+                return admit(call, items)
+
+            setattr(world.runtime.sender, "admit", late)  # noqa: B010
+            assert await world.client.take("a") is None
+            await until(lambda: paused)
+            await asyncio.sleep(GRACE)
+            assert not world.calls
+
+    run(main())
+
+
+@pytest.mark.parametrize(("error", "told"), [
+    (OSError("the folder cannot be read"), "folder-not-read"), (RuntimeError("a fault"), "look-failed"),
+])  # fmt: skip
+def test_a_look_that_fails_is_not_the_last_one(
+    error: Exception, told: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def main() -> None:
+        looks = itertools.count(1)
+        found = list[int]()
+
+        def look() -> None:
+            found.append(next(looks))
+            if len(found) == 1:
+                raise error
+
+        task = asyncio.get_running_loop().create_task(serve._looking(look))
+        await until(lambda: len(found) == 3)
+        task.cancel()
+        assert [record.message for record in caplog.records] == [told]
+
+    run(main())
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -13,6 +13,8 @@
 
 from mountgauge.console.calls import Call, Kind, Reply, read
 from mountgauge.console.duty import OFF_WITHIN, LameDuck, detached_read, detached_text
+from mountgauge.console.listener import Console
+from mountgauge.core.config import Address
 from mountgauge.http1 import HttpError, Parser
 from tests.helper import HOST, run, until
 from tests.test_process import Platform
@@ -163,19 +165,41 @@
         await self.platform.stop()
 
 
+def test_a_call_that_is_under_way_at_the_end_is_answered() -> None:
+    async def main() -> None:
+        begun = asyncio.Event()
+
+        async def carry_out(call: Call) -> Reply:
+            begun.set()
+            await asyncio.sleep(60)
+            return Reply(200, "late")
+
+        console = Console(carry_out)
+        await console.listen(Address(HOST, 0))
+        asked = asyncio.ensure_future(call(console.port, "POST", "/_lameduck/off"))
+        await begun.wait()
+        console.close()
+        assert await asked == (503, {"ok": False, "says": "the sender stops"})
+
+    run(main())
+
+
 def test_waits_in_the_shared_form() -> None:
+    from mountgauge.core.durable_time import Stamp
     from mountgauge.core.shared_waits import decode, encode, merge
 
     waits: dict[object, float] = {3: 12.0, "s-1": 10.5, 4: 9.0}  # 4 is over
-    content = encode(waits, now=10.0, wall=1000.0)
-    heard = decode(content, now=50.0, wall=1000.2)  # another process, another loop clock
+    content = encode(waits, Stamp("", 1000.0, 10.0, 1000.0))
+    heard = decode(content, Stamp("", 1000.2, 50.0, 1000.2))  # another process, another loop clock
     assert heard == {3: pytest.approx(51.8), "s-1": pytest.approx(50.3)}
     into: dict[object, float] = {3: 60.0}
     assert merge(into, heard) and into == {3: 60.0, "s-1": pytest.approx(50.3)}
     assert not merge(into, heard)
-    for bad in (b"[]", b'{"x1": 3}', b'{"d1": "soon"}'):
+    clock = b'"clock": ["", 0, 0, 0]'
+    for bad in (b"[]", b'{"x1": 3}', b'{"d1": "soon"}', b"{%b}" % clock, b'{%b, "waits": [1]}' % clock,
+                b'{"clock": [], "waits": {}}', b'{%b, "waits": {"d1": "soon"}}' % clock):  # fmt: skip
         with pytest.raises(ValueError):
-            decode(bad, 0.0, 0.0)
+            decode(bad, Stamp("", 0.0, 0.0, 0.0))
 
 
 def test_a_wait_told_to_the_old_process_binds_the_new_one(tmp_path: Path) -> None:
