Ask a crowded discovery less often: large fleets kept each other out with the new watch

Change: a 503 is Failure.BUSY, after which calls are spread over min(0.2 s x others, askWithin), as the module did before; in large fleets a call waits alone for up to 0.37 of the notified time, but after a silent watch for a fifth at most, as before. A discovery that is down keeps its sum below 6 s: 1.25 + 2.4 + 2.22 = 5.87 s. A handful of senders is bounded as before.

--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -195,7 +195,7 @@
         try:
             update = self._read(message)
         except ValueError as error:
-            failure = Failure.SPOILT if message.status == 200 else Failure.REFUSED
+            failure = Failure.SPOILT if message.status == 200 else Failure.BUSY
             self._fail(exchange.call, failure, str(error))
             return
         if self._watch.answered(exchange.call, update.version, self._now(), update.incomplete):
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -38,7 +38,8 @@
 class Failure(Enum):
     """How a call failed."""
 
-    REFUSED = "refused"  # no connection, or another status than 200: nothing of the list was written
+    REFUSED = "refused"  # no connection
+    BUSY = "busy"  # another status than 200: discovery is there, and nothing of the list was written
     BROKEN = "broken"  # asked, and the connection ended: an answer may have been written and lost with it
     SPOILT = "spoilt"  # an answer had begun and broke off, or could not be read
 
@@ -80,6 +81,7 @@
     short_calls: int = 0  # calls to be answered at once that were asked
     unreachable_since: float | None = None  # the first connection was begun that has not come up
     lost: bool = False  # a call has failed or fallen silent: the next ones are short
+    watch_silent: bool = False  # a watch was asked and not answered in time
     asked_again: bool = False  # an answer that may have been written was asked for anew at once
     repeats: int = 0  # watches answered at once with nothing newer
 
@@ -179,7 +181,10 @@
             self._next_at = now + call.wait_s + ANSWER_MARGIN_S
         else:
             state.short_calls += 1
-            self._next_at = now + self.bounds.limit_s(state.short_calls)
+            limit = self.bounds.limit_s(state.short_calls)
+            if state.watch_silent and state.short_calls == 1:
+                limit = min(limit, self.bounds.silent_limit_s)
+            self._next_at = now + limit
         return True
 
     def wakes_at(self) -> float:
@@ -232,13 +237,14 @@
         state.unreachable_since = None
         if reachable_again:
             self._next_at = now  # connections hung, and now one is refused: the cut is over
-        elif failure is not Failure.REFUSED and not state.asked_again:
+        elif failure in (Failure.BROKEN, Failure.SPOILT) and not state.asked_again:
             state.asked_again = True  # what it told counts as notified already
             self._next_at = now
         elif now - self._moved_at < NOTIFIED_AFTER_MOVE_S and self._whole:
             self._next_at = now + MOVE_PAUSE_S
         else:
-            self._next_at = now + self.bounds.back_off_s(state.failures, self._rng.random())
+            busy = failure is Failure.BUSY
+            self._next_at = now + self.bounds.back_off_s(state.failures, self._rng.random(), busy)
 
     def distrust(self, now: float) -> None:
         """What has been answered could not be taken in, or not all of it: ask for the whole list."""
@@ -265,7 +271,9 @@
             return
         state, newest = self._since_answer, self._open[-1]
         state.lost = True
-        if newest not in self._connected_at and state.unreachable_since is None:
+        if newest in self._connected_at:
+            state.watch_silent = state.watch_silent or not newest.short
+        elif state.unreachable_since is None:
             state.unreachable_since = newest.made_at
 
     def _is_needless(self, call: ListCall, now: float) -> bool:
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -6,20 +6,24 @@
 a draining next hop `drainGrace` after that. Every limit and back-off of the watch is a formula of these
 figures, so that the worst sum of them stays below:
 
-- Discovery refuses, then comes back right after a refused call: `back_off_most_s` x (1 + `JITTER`) +
+- Discovery is down, then comes back right after a refused call: `back_off_most_s` x (1 + `JITTER`) +
   `spread_s` until the next call, `limit_most_s` more if that one is lost, then the answer:
-  1.25 + 3.0 + 1.2 = 5.45 s of 6 s with hundreds of senders, 1.25 + 0.4 + 1.2 = 2.85 s with three.
+  1.25 + 2.4 + 2.22 = 5.87 s of 6 s with hundreds of senders, 1.25 + 0.4 + 1.2 = 2.85 s with three.
 - Discovery is silent, then comes back: the next call is made at the latest `limit_most_s` after the one
-  before, 1.2 s, and is listened to for `call_life_s`, 6.0 s, so that it is heard though its answer takes
-  up to 4.8 s. At most `most_open_calls` are listened to at once, six, and the watch that fell silent.
+  before, 1.2 s up to twelve senders and 2.22 s from 23 on, and is listened to for `call_life_s`, 6.0 s, so
+  that it is heard though its answer takes 4.8 s (3.78 s). At most `most_open_calls` are listened to at once,
+  six, and the watch that fell silent.
 - A watch falls silent: further calls are made `ANSWER_MARGIN_S` after its wait and `first_limit_s` after
-  that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on) of 2 s.
+  that, 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on: `silent_limit_s`) of 2 s.
+- Discovery is there and turns calls away, as it has too many: it could not be reached, and asking sooner than
+  it works off only makes it turn more away. Then calls are spread over `busy_spread_s`, which with three
+  senders is 0.4 s and may pass 6 s with more than 30.
 - The way to discovery is cut, and comes back: a connection that does not come up costs discovery nothing, so
   another one is begun after `probe_s`: 0.15 s in a small fleet, so that a change which counts as notified
   when the cut ends is read within the grace; more with many senders, or once it has lasted for long. Each is
   waited for as long as `dial_life_s`, as connections may come up late. Only the first that comes up asks.
 - Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
-  listened to for `call_life_s`, 3.0 s of 4 s, so that a slow one still counts.
+  listened to for `call_life_s`, so that a slow one still counts.
 
 `askWithin` bounds them as well: a sender whose call has failed is held to what was listed four times as long
 ago, so small values of it scale all of these figures down.
@@ -54,6 +58,11 @@
 PROBE_DECAY = 1 / 40  # of the time for which none has come up: a long cut is probed less often
 DIAL_LIFE_S = 2.0  # for which a connection may take to come up
 
+# The most of the notified time that a call waits alone in a large fleet: a crowded discovery answers late,
+# and a second call would only crowd it further.
+CROWDED_LIMIT_SHARE = 0.37
+SPREAD_SHARE = 0.4  # the most of it over which calls are spread after one that could not be made
+
 AT_ONCE_S = 0.05  # a watch that is answered sooner did not wait for changes
 # Rests after a watch that was answered at once with nothing newer. Longer than `WATCH_GAP_S`: a shorter one
 # would belong to the watch, and what changes in it would be notified before it can be read.
@@ -72,11 +81,13 @@
     known_within_s: float  # after discovery can be reached, in which a change must have been read
     first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
     limit_most_s: float
+    silent_limit_s: float  # the most of it for the first call after a watch that fell silent
     call_life_s: float  # in which a call that was to be answered at once is listened to
     dial_life_s: float  # for which a connection may take to come up
     least_probe_s: float  # between two connections while none comes up
     back_off_most_s: float  # after a failed call, without jitter and spread
     spread_s: float  # at random on top of it, so that many senders find a place in discovery's time
+    busy_spread_s: float  # the same after a call that discovery has turned away: it has too many
     rest_most_s: float
 
     @classmethod
@@ -84,18 +95,21 @@
         """The bounds that these settings imply."""
         known_within = min(NOTIFIED_AFTER_S, FAILED_CALL_FACTOR * rules.ask_within)
         limit_most = known_within / 5
+        crowd_limit = CROWDED_LIMIT_SHARE * known_within
         crowded = LIMIT_PER_SENDER_S * rules.balancers
         others = DISCOVERY_CALL_S * (rules.balancers - 1) if rules.subscribe else 0.0
         return cls(
             wait_s=min(MOST_WAIT_S, rules.ask_within) if rules.subscribe else PUSHED_WAIT_S,
             known_within_s=known_within,
-            first_limit_s=min(limit_most, max(LEAST_LIMIT_S, crowded)),
-            limit_most_s=limit_most,
+            first_limit_s=min(crowd_limit, max(min(LEAST_LIMIT_S, limit_most), crowded)),
+            limit_most_s=max(limit_most, min(crowd_limit, crowded)),
+            silent_limit_s=limit_most,
             call_life_s=known_within,
             dial_life_s=min(DIAL_LIFE_S, known_within),
             least_probe_s=min(limit_most, max(PROBE_S, PROBE_PER_SENDER_S * rules.balancers)),
             back_off_most_s=known_within / 6,
-            spread_s=min(others, known_within / 2),
+            spread_s=min(others, SPREAD_SHARE * known_within),
+            busy_spread_s=min(others, rules.ask_within),
             rest_most_s=(
                 max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2))
                 if rules.subscribe
@@ -123,10 +137,12 @@
         """The time between two connections, when none has come up for so long."""
         return min(max(self.least_probe_s, PROBE_DECAY * unreachable_s), self.limit_most_s)
 
-    def back_off_s(self, failures: int, draw: float) -> float:
-        """The pause after so many failures in a row; `draw` is a random number of 0 to 1."""
+    def back_off_s(self, failures: int, draw: float, busy: bool = False) -> float:
+        """The pause after so many failures in a row; `draw` is a random number of 0 to 1. `busy`: discovery
+        is there, and has turned the call away.
+        """
         base = min(FIRST_BACK_OFF_S * 2.0 ** (failures - 1), self.back_off_most_s)
-        return base * (1 + JITTER * draw) + self.spread_s * draw
+        return base * (1 + JITTER * draw) + (self.busy_spread_s if busy else self.spread_s) * draw
 
     def rest_s(self, repeats: int) -> float:
         """The rest after so many watches in a row that were answered at once with nothing newer."""
