--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from rillspindle import interface as io
-from rillspindle import slow_start
 from rillspindle.catalog import Catalog
 from rillspindle.interface import Outcome, Readiness
 from rillspindle.state import Call, Dest, Endpoint, Message, Route
@@ -25,7 +24,6 @@
 PROVEN = 2  # failures in a row that may be chance; more are an outage
 BAD_GAIN = 0.25  # weight of the newest outcome in an endpoint's share of bad ones
 UNSAFE_BAD, AILING, DEAD = 0.3, 0.6, 0.8  # shares of bad outcomes: no unsafe message; an outage; down
-TWO_BAD = 0.42  # share of bad outcomes after two in a row
 PACE_CUT = 0.5  # factor of the pace at a refusal as full; the first one takes the last calls' rate
 PACE_STEP = 0.1  # calls/s by which each success raises the pace: a tenth of any pace in each second
 PACE_BACK, PACE_ON = 0.2, 0.01  # the same as parts of a known limit: while the pace is below it, and past it
@@ -34,6 +32,7 @@
 PACE_LEAST = 0.5  # calls/s of all nodes together; under their part of it a pace holds messages past any use
 RATE_SPAN = 8.0  # s over which a route's healthy rate is averaged
 WEIGHT_TRUST = 0.9  # part of a rough or reported limit that is surely there
+SLOW_START_PART = 1.1  # times this node's healthy share of the budget: healthy rates leave capacity unused
 SCARCE = 0.75  # share of the slots taken from which an unanswered call costs others their turn
 DEST_SHARE = 0.5  # most of the slots, and of the held messages, for one destination
 OPEN_SHARE = 0.9  # most of what may be held in all: past all of it the door shuts for every destination
@@ -224,8 +223,13 @@
 
     def _rate_cap(self, ep: Endpoint) -> float:
         """Pace after refusals as full; slow start after an outage (rule 4)."""
-        cold = slow_start.calls_per_s(ep.route, self._demand(ep.dest), self.now, self.set)
-        return min(ep.route.pace, cold)
+        route, demand = ep.route, self._demand(ep.dest)
+        age = self.now - route.cold_since if route.rate_at >= route.cold_since else 0.0
+        if age >= self.set.cold:
+            return route.pace
+        base = max(route.rate, route.limit, demand, 1 / self.set.cold)
+        warm = self.set.start_capacity + (1 - self.set.start_capacity) * max(0.0, age) / self.set.cold
+        return min(route.pace, SLOW_START_PART * self.set.fall_multiple * warm * base)
 
     def _ramp_start(self, ep: Endpoint) -> float:
         """Calls/s that a cold destination surely takes from this node; an unlisted one: two after another."""
@@ -430,15 +434,15 @@
         ep.usual += SMOOTH * (spent - ep.usual)
         if ep.failed_at:
             # a lone failure while it warms up is chance: starting over each time would never let it warm up
-            if self._shows_outage(ep):
+            if route.misses > PROVEN or ep.bad > AILING:
                 route.cold_since = self.now
             ep.failed_at, ep.trial, ep.bad = 0.0, False, min(ep.bad, UNSAFE_BAD)
             self._log(f"up {ep.id.hex()}: answered")
         ep.misses = 0
         if self.now - route.cold_since >= self.set.cold:
             route.rate = route.rate * math.exp((route.rate_at - self.now) / RATE_SPAN) + 1 / RATE_SPAN
-        if route.rate_at < route.cold_since <= self.now:
-            route.cold_since = self.now  # slow start counts from the first answer, at any endpoint
+        if route.rate_at < route.cold_since:  # slow start counts from the first answer, at any endpoint
+            route.cold_since = self.now
         if route.ramp:  # an answer vouches for the time since the one before, a turn of the pace at most
             route.pace = max(route.pace, self._ramp_start(ep))
             route.pace *= math.exp(route.ramp * min(self.now - route.rate_at, self._turn(ep)))
@@ -465,7 +469,7 @@
             floor = 0.0 if route.ramp else route.limit * (1 - self.set.ramp * route.full)
             route.pace = max(floor * (PACE_CUT if self.many else 1.0), recent)
         # a turn of the pace, at random: many nodes are refused, or told to wait, at one time
-        rest = (1 + self.many) * self.random.random() / max(self._rate_cap(ep), self.pace_least)
+        rest = (1 + self.many) * self.random.random() / max(route.pace, self.pace_least)
         route.next_at = max(route.next_at, max(self.now, route.wait_until) + rest)
 
     def _bad(self, call: Call, fatal: bool) -> None:
@@ -473,7 +477,7 @@
         for the route: it opens one trial at once; a second a part of the fail window, a third all of it."""
         ep, route = call.ep, call.ep.route
         ep.bad, ep.misses = ep.bad + BAD_GAIN * (1 - ep.bad), ep.misses + fatal
-        if self._shows_outage(ep):
+        if ep.bad > AILING or route.misses > PROVEN:
             route.cold_since = max(route.cold_since, self.now)
         if not fatal:
             return
@@ -490,16 +494,6 @@
         if route.misses > 1:  # an outage mostly takes all endpoints of a route
             route.window_end = later
 
-    def _shows_outage(self, ep: Endpoint) -> bool:
-        """Whether its failures are not chance: many, or two at a warm destination with no answer near."""
-        route = ep.route
-        if ep.bad > AILING or route.misses > PROVEN:
-            return True
-        two = route.misses > 1 or ep.bad > TWO_BAD
-        silent = two and self.now - route.rate_at > self.set.fall
-        # started over for so few, one that fails a part of its calls would never warm up
-        return silent and self.now - route.cold_since >= self.set.cold
-
     def _log(self, line: str) -> None:
         if self.logged < LOG_LINES:
             self.logged += 1
