--- /dev/null
+++ b/tests/platform/reference.py
@@ -0,0 +1,340 @@
+"""When a change of discovery's list counts as notified: a model written from the platform's pages alone.
+
+The pages are PROTOCOL-mountgauge.md ("Discovery", "The rules on sockets", "Figures") and STANDING.md. The
+model knows a schedule of changes and faults, and the record of one sender's calls; it knows nothing of how
+the sender decides when to call. Where the pages leave a clause open, it takes the later moment:
+
+- "Could be reached" holds at a moment if a call made then would be answered. The 6 s run anew after each
+  outage, as the pages say of `askWithin` ("counted anew when discovery is back"), and after each move.
+- A discovery that is slow could be reached when the answer to a call made then is written: its delay is
+  added to each clause but that of the move.
+- A watch that falls silent because discovery is cut off counts as notified by the clause on silence only if
+  discovery could be reached from the end of the wait on; else by the 6 s after it could be reached. Read to
+  the letter, a cut longer than 6 s would want a sender to stop, as nothing can tell it of the change.
+- A single lost answer does not make discovery unreachable. The schedules lose one call in `LOSS_PAUSE_S`, or
+  a watch and the call after it: with any number in a row no sender could know of a change.
+- A spoilt answer counts as written, unless discovery is slow, goes down or moves within the grace after it.
+  The answer after a spoilt one is whole.
+- After a move the 4 s hold for changes made until the new address has written its first answer, and where it
+  could be reached soon enough (`_MOVE_REACHED_S`); after an outage within them, if no call is lost besides.
+  A watch that falls silent after that answer has its own clause.
+- With no watch open, `askWithin` holds until a call is made: what that one misses has the clause on silence,
+  and so has what was made before it, after the answer that it follows.
+- Where lists are pushed, a change counts at once, or at the return of an agent that held its calls; where the
+  call that is out, or the next one if none is, has failed or is silent, and where the agent goes down within
+  the grace, by the other clauses.
+- An endpoint that has come back is no longer draining, whether or not the sender knows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from math import inf
+
+AFTER_REACHED_S = 6.0
+AFTER_WAIT_S = 2.0
+AFTER_MOVE_S = 4.0
+FAILED_FACTOR = 4
+WATCH_GAP_S = 0.2
+GRACE_S = 0.25 + 0.05  # of a drain, with what every time limit is longer on sockets
+LOSS_PAUSE_S = 8.0
+SHORT_S = 0.05  # a call that may wait so long is no watch
+
+
+class State(Enum):
+    """What the list says of an endpoint."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+class Trouble(Enum):
+    """What discovery does during an outage."""
+
+    REFUSING = "refusing"  # open calls are reset, new ones refused
+    SILENT = "silent"  # open calls and new ones are never answered, also after it
+    HOLDING = "holding"  # all calls are answered at its end
+    SLOW = "slow"  # each answer takes `delay_s`
+    HASTY = "hasty"  # watches are answered at once, with nothing newer
+
+
+_BLOCKING = (Trouble.REFUSING, Trouble.SILENT, Trouble.HOLDING)
+# After a move, until when the new address must answer for the 4 s to hold: a sender can ask again at once
+# after a refusal, but not while it does not know that its call is lost.
+_MOVE_REACHED_S = {Trouble.REFUSING: 3.5, Trouble.SILENT: 2.0, Trouble.HOLDING: 3.5}
+_MOVE_CHANGED_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An endpoint's state from a moment on; the changes of a schedule are numbered from 1, in order."""
+
+    at: float
+    hop: str
+    state: State
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A time of trouble at discovery, whatever its address."""
+
+    at: float
+    until: float
+    trouble: Trouble
+    delay_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """The next call from this moment on is not answered; with `pair`, after a watch the one after it too."""
+
+    at: float
+    pair: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Spoil:
+    """The next answer from this moment on breaks off, or cannot be read."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """SIGHUP: discovery has a new address. What is drawn as an outage right after it is the new one's."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """SIGHUP: another `askWithin`."""
+
+    at: float
+    ask_within_s: float
+
+
+Event = Change | Outage | Loss | Spoil | Move | Reload
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """What happens to one sender and its discovery."""
+
+    balancers: int
+    ask_within_s: float
+    pushed: bool
+    hold_up_s: float  # of the sender, between its look and its write
+    connect_s: float  # between the choice of an endpoint and the look before the first byte
+    seed: int
+    events: tuple[Event, ...]
+
+    @property
+    def changes(self) -> list[Change]:
+        """The changes, in order: the version of the list is the number of those made."""
+        return [event for event in self.events if isinstance(event, Change)]
+
+    @property
+    def outages(self) -> list[Outage]:
+        """The outages, in order; they do not overlap."""
+        return [event for event in self.events if isinstance(event, Outage)]
+
+    @property
+    def moves(self) -> list[float]:
+        """When discovery moved."""
+        return [event.at for event in self.events if isinstance(event, Move)]
+
+    @property
+    def end(self) -> float:
+        """When everything must have counted as notified."""
+        last = max((getattr(event, "until", event.at) for event in self.events), default=0.0)
+        longest = max([self.ask_within_s, *(e.ask_within_s for e in self.events if isinstance(e, Reload))])
+        return float(last) + min(60.0, longest) + 2 * AFTER_REACHED_S
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """One call as discovery and the network saw it."""
+
+    made_at: float
+    wait_s: float
+    silent_from: float | None = None
+    failed_at: float | None = None
+    closed_at: float = inf  # by the sender
+    written_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """An answer that discovery has written, whole or not."""
+
+    at: float
+    version: int
+    spoilt: bool
+
+
+@dataclass(slots=True)
+class Record:
+    """All that passed between a sender and discovery."""
+
+    calls: list[CallRecord] = field(default_factory=list)
+    written: list[Written] = field(default_factory=list)
+
+
+class Reference:
+    """When each change of a schedule counts as notified to the sender whose record this is."""
+
+    def __init__(self, schedule: Schedule, record: Record) -> None:
+        self._schedule, self._record = schedule, record
+
+    def drains(self) -> Iterator[tuple[str, float, float]]:
+        """Endpoint, from when nothing may be sent to it, and until when that holds."""
+        changes = self._schedule.changes
+        for version, change in enumerate(changes, 1):
+            if change.state is State.ACTIVE:
+                continue
+            back = [later.at for later in changes[version:]
+                    if later.hop == change.hop and later.state is State.ACTIVE]  # fmt: skip
+            yield change.hop, self.notified_at(version) + GRACE_S, min(back, default=inf)
+
+    def notified_at(self, version: int) -> float:
+        """The earliest of all clauses."""
+        made_at = self._schedule.changes[version - 1].at
+        return min(
+            self._written(version),
+            self._within_watch(made_at),
+            self._pushed(made_at),
+            self._silence(made_at),
+            self._reached(made_at),
+            self._unasked(made_at),
+            self._moved(made_at),
+        )
+
+    # Clauses
+
+    def _written(self, version: int) -> float:
+        heard = (answer for answer in self._record.written if answer.version >= version)
+        return min((answer.at for answer in heard if self._counts(answer)), default=inf)
+
+    def _counts(self, answer: Written) -> bool:
+        until = answer.at + GRACE_S
+        blocked = any(begin < until and end > answer.at for begin, end in self._blocked())
+        return not answer.spoilt or not (blocked or self._delay(answer.at, until))
+
+    def _within_watch(self, made_at: float) -> float:
+        """A watch goes on while the next call comes soon enough: changes in between count."""
+        before = max((answer.at for answer in self._record.written if answer.at < made_at), default=-inf)
+        after = [call for call in self._record.calls if call.made_at >= made_at]
+        if not after or after[0].made_at > before + WATCH_GAP_S:
+            return inf
+        heard = after[0].silent_from is None and after[0].failed_at is None
+        return made_at if heard and not self._delay(made_at, after[0].made_at) else inf
+
+    def _pushed(self, made_at: float) -> float:
+        """What the agent has counts at once, also what it gets at its return."""
+        if not self._schedule.pushed:
+            return inf
+        at = made_at
+        for outage in self._schedule.outages:
+            if outage.trouble is Trouble.HOLDING and outage.at <= at < outage.until:
+                at = outage.until
+        for moved_at in self._schedule.moves:
+            if moved_at <= at < moved_at + AFTER_MOVE_S:
+                at = moved_at + AFTER_MOVE_S
+        if self._lost(at) or any(begin < at + GRACE_S and end > at for begin, end in self._blocked()):
+            return inf
+        return at + self._delay(made_at, at)
+
+    def _lost(self, at: float) -> bool:
+        """Whether the newest call has failed or fallen silent, or was answered and the next one is lost."""
+        before = [call for call in self._record.calls if call.made_at <= at]
+        if before and not _before(before[-1].written_at, at):
+            return _before(before[-1].silent_from, at) or _before(before[-1].failed_at, at)
+        after = self._record.calls[len(before) : len(before) + 1]
+        return any(call.silent_from is not None or call.failed_at is not None for call in after)
+
+    def _silence(self, made_at: float) -> float:
+        found = [self._missed_by(call, made_at) for call in self._record.calls]
+        return min(found, default=inf)
+
+    def _missed_by(self, call: CallRecord, made_at: float) -> float:
+        over = call.made_at + call.wait_s
+        if call.silent_from is None or call.closed_at <= call.silent_from or made_at > over:
+            return inf
+        at = max(call.silent_from + AFTER_REACHED_S, over + AFTER_WAIT_S)
+        if any(begin < at and end > over for begin, end in self._blocked()):
+            at = max(at, self._reachable_for(AFTER_REACHED_S, max(made_at, over)))
+        return at + self._delay(made_at, at)
+
+    def _reached(self, made_at: float) -> float:
+        """6 s after discovery had it and could be reached; `askWithin` four times, if that is less."""
+        if any(self._watched_in_silence(call, made_at) for call in self._record.calls):
+            return inf  # nothing has failed that the sender could know of: the clause on silence holds
+        limit = min(AFTER_REACHED_S, FAILED_FACTOR * self._ask_within(made_at))
+        at = self._reachable_for(limit, made_at)
+        return at + self._delay(made_at, at)
+
+    def _watched_in_silence(self, call: CallRecord, made_at: float) -> bool:
+        if call.silent_from is None or call.wait_s <= SHORT_S or call.closed_at <= call.silent_from:
+            return False
+        before = max((answer.at for answer in self._record.written if answer.at <= call.made_at), default=0.0)
+        return before <= made_at <= call.made_at + call.wait_s
+
+    def _unasked(self, made_at: float) -> float:
+        """No call is out or made, and the last one was answered: `askWithin` after the change."""
+        calls = [call for call in self._record.calls if call.made_at <= made_at]
+        if not calls or any(not _before(call.written_at, made_at) for call in calls):
+            return inf
+        at = self._reachable_for(self._ask_within(made_at), made_at)
+        asked = len(self._record.calls) > len(calls) and self._record.calls[len(calls)].made_at <= at
+        return inf if asked else at + self._delay(made_at, at)
+
+    def _moved(self, made_at: float) -> float:
+        moved_at = max(self._schedule.moves, default=inf)
+        heard = (call.written_at for call in self._record.calls if call.made_at >= moved_at)
+        if made_at >= min((at for at in heard if at is not None), default=moved_at + _MOVE_CHANGED_S):
+            return inf
+        due = moved_at + AFTER_MOVE_S
+        blocked = [o for o in self._schedule.outages if o.at < due and o.until > moved_at]
+        blocked = [o for o in blocked if o.trouble in _MOVE_REACHED_S]
+        if any(outage.until > moved_at + _MOVE_REACHED_S[outage.trouble] for outage in blocked):
+            return inf
+        lost = any(
+            call.silent_from == call.made_at and not any(o.at <= call.made_at < o.until for o in blocked)
+            for call in self._record.calls
+            if moved_at <= call.made_at < due
+        )
+        return inf if blocked and lost else due
+
+    # Spans of time
+
+    def _ask_within(self, made_at: float) -> float:
+        """The longest `askWithin` that held at any time from the change on, for the time of the rule."""
+        values = [self._schedule.ask_within_s]
+        for event in self._schedule.events:
+            if isinstance(event, Reload):
+                values = [event.ask_within_s] if event.at <= made_at else [*values, event.ask_within_s]
+        return max(values)
+
+    def _blocked(self) -> list[tuple[float, float]]:
+        spans = [(o.at, o.until) for o in self._schedule.outages if o.trouble in _BLOCKING]
+        return sorted([*spans, *((at, at) for at in self._schedule.moves)])
+
+    def _reachable_for(self, span: float, since: float) -> float:
+        """The first moment before which discovery could be reached for so long on end."""
+        for begin, end in self._blocked():
+            if end > since and begin < since + span:
+                since = end
+        return since + span
+
+    def _delay(self, since: float, until: float) -> float:
+        """The longest time that an answer took."""
+        slow = [o for o in self._schedule.outages if o.trouble is Trouble.SLOW]
+        return max((o.delay_s for o in slow if o.at <= until and o.until >= since), default=0.0)
+
+
+def _before(moment: float | None, at: float) -> bool:
+    return moment is not None and moment <= at
--- /dev/null
+++ b/tests/platform/test_drain_property.py
@@ -0,0 +1,118 @@
+"""Rule `drain` in virtual time: no first byte leaves later than a change counts as notified, plus the grace.
+
+Hypothesis draws the schedules, the same ones each time; `reference` says when each change counts.
+"""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from tests.platform.reference import (
+    Change,
+    Event,
+    Loss,
+    Move,
+    Outage,
+    Reference,
+    Reload,
+    Schedule,
+    Spoil,
+    State,
+    Trouble,
+)
+from tests.platform.simulation import HOPS, Run, play
+
+ASK_WITHIN_S = (0.5, 1.0, 2.0, 4.0, 10.0, 60.0)
+EXAMPLES = 400
+
+
+def late_bytes(schedule: Schedule, run: Run) -> list[str]:
+    """A line for each endpoint that got a first byte after the grace, with the time by which it was late."""
+    found = []
+    for hop, due, back_at in Reference(schedule, run.record).drains():
+        late = [at for at in run.sent.at.get(hop, ()) if due < at < back_at]
+        if late:
+            found.append(f"{hop}: until {max(late) - due:.3f} s after {due:.3f}, the end of the grace")
+    return found
+
+
+def most_calls(schedule: Schedule, run: Run) -> float:
+    """Calls to discovery that a sender may make: see docs/drains.md."""
+    ask = min([schedule.ask_within_s, *(e.ask_within_s for e in schedule.events if isinstance(e, Reload))])
+    known_s, wait_s = min(6.0, 4 * ask), 2.0 if schedule.pushed else min(60.0, ask)
+    watches = schedule.end / wait_s + 2 * len(schedule.events)
+    troubles = 1 + len([e for e in schedule.events if not isinstance(e, Change)])
+    unanswered = 3 * schedule.end / (known_s / 2) + 5 * troubles
+    rest_s = 0.1 if schedule.pushed else 0.3
+    hasty = sum(o.until - o.at for o in schedule.outages if o.trouble is Trouble.HASTY) / rest_s
+    moves = len(schedule.moves) * 4.0 / 0.1
+    return 1 + watches + unanswered + hasty + moves
+
+
+@st.composite
+def faults(draw: st.DrawFn, at: float, slowest_s: float) -> list[Event]:
+    """A fault at this time, or none."""
+    kind = draw(st.sampled_from(["none", *Trouble, "loss", "pair", "spoil", "move", "moved", "reload"]))
+    if isinstance(kind, Trouble):
+        lasts = draw(st.sampled_from((0.3, 1.0, 2.5, 8.0)))
+        slow = slowest_s * draw(st.sampled_from((0.3, 1.0))) if kind is Trouble.SLOW else 0.0
+        return [Outage(at, at + lasts, kind, slow)]
+    match kind:
+        case "loss" | "pair":
+            return [Loss(at, kind == "pair")]
+        case "spoil":
+            return [Spoil(at)]
+        case "move":
+            return [Move(at)]
+        case "moved":
+            trouble = draw(st.sampled_from([Trouble.REFUSING, Trouble.SILENT, Trouble.SLOW]))
+            lasts = draw(st.sampled_from((0.5, 2.0, 3.4)))
+            slow = slowest_s if trouble is Trouble.SLOW else 0.0
+            return [Move(at), Outage(at + 0.001, at + lasts, trouble, slow)]
+        case "reload":
+            return [Reload(at, draw(st.sampled_from(ASK_WITHIN_S)))]
+    return []
+
+
+@st.composite
+def schedules(draw: st.DrawFn) -> Schedule:
+    """A sender, its settings, and up to seven faults with changes between them."""
+    ask_within_s = draw(st.sampled_from(ASK_WITHIN_S))
+    at, events = 0.5, list[Event]()
+    gaps = st.sampled_from((0.01, 0.05, 0.3, 0.7, 1.3, 3.0, 6.0))
+    for _ in range(draw(st.integers(1, 7))):
+        at += draw(gaps)
+        drawn = draw(faults(at, 0.45))
+        events += drawn
+        at = max([at, *(e.until for e in drawn if isinstance(e, Outage))])
+        at_change = draw(st.floats(0.0, 1.0))
+        begin = drawn[0].at if drawn else at
+        hop, state = draw(st.sampled_from(HOPS)), draw(st.sampled_from(State))
+        events.append(Change(begin + 0.002 + at_change * (at - begin + 0.5), hop, state))
+    events.sort(key=lambda event: event.at)
+    return Schedule(
+        balancers=draw(st.sampled_from((1, 3, 6, 12, 30))),
+        ask_within_s=ask_within_s,
+        pushed=draw(st.booleans()),
+        hold_up_s=draw(st.sampled_from((0.0, 0.15))),
+        connect_s=draw(st.sampled_from((0.0, 0.4))),
+        seed=draw(st.integers(0, 99)),
+        events=tuple(events),
+    )
+
+
+@hypothesis_settings(
+    max_examples=EXAMPLES,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(schedules())
+def test_no_first_byte_leaves_after_the_grace(schedule: Schedule) -> None:
+    run = play(schedule)
+    assert not late_bytes(schedule, run)
+    assert not run.sent.refused, "service goes on whatever discovery does"
+    assert len(run.record.calls) <= most_calls(schedule, run)
