Log and count each call to discovery, its end and the list's age

Change: CallLog counts each call made, asked, answered, failed, given up and dropped with its reason, and logs its making and its end; the state line has the counts, the list's age and the oldest call that is out; the watch says why it drops a call. No decision changes.

--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -8,8 +8,10 @@
 import asyncio
 import logging
 import math
+from collections import Counter
+from collections.abc import Mapping
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 import orjson
 
@@ -17,7 +19,8 @@
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.http1 import Connection, Message, State, request
 from mountgauge.log import kv
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.call_log import CallEvent, CallLog
+from mountgauge.platform.watch import DiscoveryWatch, DroppedCall, DropReason, Failure, ListCall
 from mountgauge.platform.watch_bounds import WatchBounds
 
 log = logging.getLogger("mountgauge.platform.discovery")
@@ -147,6 +150,7 @@
         self._exchanges: dict[ListCall, ListExchange] = {}
         self._kept: Connection | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._calls = CallLog(self._now)
 
     # What the core and the runtime ask for
 
@@ -190,6 +194,21 @@
         self.watch(False)
         self._forget_kept()
 
+    @property
+    def counts(self) -> Counter[tuple[str, str]]:
+        """What has become of the calls so far."""
+        return self._calls.counts
+
+    def state(self) -> Mapping[str, Any]:
+        """For the state line: how old the list is, and the calls that are out."""
+        now = self._now()
+        age_s, out = self._watch.list_age_s(now), self._watch.open_calls
+        return {
+            "list_age_s": "never" if math.isinf(age_s) else round(age_s, 3),
+            "list_calls_out": len(out),
+            "list_call_oldest_s": round(now - out[0].made_at, 3) if out else 0.0,
+        }
+
     @property
     def unread(self) -> bool:
         """Whether discovery has written news, or may have, that has not been read; it counts as notified.
@@ -207,8 +226,10 @@
     def connected(self, exchange: ListExchange) -> bool:
         """The connection of a call has come up; whether it is to ask."""
         asks = self._watch.connected(exchange.call, self._now())
-        if not asks:
-            self._exchanges.pop(exchange.call, None)
+        if asks:
+            self._calls.asked(exchange.call)
+        elif self._exchanges.pop(exchange.call, None) is not None:
+            self._calls.closed(exchange.call, CallEvent.DROPPED, DropReason.NEEDLESS.value)
         self._wake_in_time()
         return asks
 
@@ -223,6 +244,7 @@
             failure = Failure.SPOILT if message.status == 200 else Failure.BUSY
             self._fail(exchange.call, failure, str(error))
             return
+        self._calls.answered(exchange.call, update.version)
         if self._watch.answered(exchange.call, update.version, self._now(), update.incomplete):
             self._take_in(update)
         self._step()
@@ -259,6 +281,7 @@
             self._watch.distrust(self._now())
 
     def _fail(self, call: ListCall, failure: Failure, why: str) -> None:
+        self._calls.failed(call, failure, why)
         self._watch.failed(call, failure, self._now())
         doubted = self._watch.in_doubt(self._now())
         failures = self._watch.failures
@@ -271,17 +294,27 @@
         """Make and close the calls that are due, and come back when the next ones are."""
         now = self._now()
         step = self._watch.poll(now, self._owner.version)
-        for call in step.drop:
-            if (exchange := self._exchanges.pop(call, None)) is not None:
-                # Of two calls to be answered at once the newer one's answer tells what the older one's does.
-                if exchange.answer_arrived and not call.short:
-                    self._watch.distrust(now)
-                exchange.close()
+        for dropped in step.drop:
+            self._close(dropped, now)
         for call in step.make:
             exchange = self._exchanges[call] = ListExchange(self, call, self._address)
-            exchange.begin(self._take_kept())
+            kept = self._take_kept()
+            self._calls.made(call, kept is not None)
+            exchange.begin(kept)
         self._wake_in_time()
 
+    def _close(self, dropped: DroppedCall, now: float) -> None:
+        call = dropped.call
+        if (exchange := self._exchanges.pop(call, None)) is None:
+            return
+        given_up = dropped.reason in (DropReason.NO_ANSWER, DropReason.NO_CONNECTION)
+        event = CallEvent.GIVEN_UP if given_up else CallEvent.DROPPED
+        self._calls.closed(call, event, dropped.reason.value)
+        # Of two calls to be answered at once the newer one's answer tells what the older one's does.
+        if exchange.answer_arrived and not call.short:
+            self._watch.distrust(now)
+        exchange.close()
+
     def _wake_in_time(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -71,12 +71,30 @@
         return same and (self.index is None or other.index is not None)
 
 
+class DropReason(Enum):
+    """Why a call is closed without an answer."""
+
+    NO_ANSWER = "no-answer"  # nothing has come for as long as it is listened to
+    NO_CONNECTION = "no-connection"  # none has come up for as long as it may take
+    NEWER_ANSWERED = "newer-answered"  # a call that was made after it has told all that it would
+    NEEDLESS = "needless"  # another one has been asked meanwhile
+    STOPPED = "stopped"  # discovery is not to be asked any more
+
+
+@dataclass(frozen=True, slots=True)
+class DroppedCall:
+    """A call to be closed."""
+
+    call: ListCall
+    reason: DropReason
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """What the driver has to do now."""
 
     make: tuple[ListCall, ...] = ()
-    drop: tuple[ListCall, ...] = ()
+    drop: tuple[DroppedCall, ...] = ()
 
 
 @dataclass(slots=True)
@@ -100,7 +118,7 @@
         self._rng = rng
         self._on = False
         self._open: list[ListCall] = []  # in the order in which they were made
-        self._dropped: list[ListCall] = []
+        self._dropped: list[DroppedCall] = []
         self._connected_at: dict[ListCall, float] = {}  # of the open ones
         self._next_at = inf  # when the next call is to be made
         self._number = 0
@@ -111,6 +129,7 @@
             bounds.doubt_s, bounds.certain_doubt_s, bounds.dial_life_s, bounds.broken_row_s
         )
         self._since_answer = _Progress(lost=True)  # the first call is short: nothing is known yet
+        self._answered_call_at = -inf  # when the newest call was made that was answered
 
     @property
     def on(self) -> bool:
@@ -132,6 +151,10 @@
         """The calls that are out, the newest last."""
         return tuple(self._open)
 
+    def list_age_s(self, now: float) -> float:
+        """How long ago the newest call was made that was answered; infinite where none was."""
+        return now - self._answered_call_at
+
     def in_doubt(self, now: float) -> bool:
         """Whether news may be lost that counts as notified, so that nothing may be sent by the list."""
         return self._lease.in_doubt(now)
@@ -150,7 +173,7 @@
         """End all calls and make no more."""
         self._on = False
         self._next_at = inf
-        self._drop(self._open)
+        self._drop(self._open, DropReason.STOPPED)
 
     def retune(self, bounds: WatchBounds, now: float) -> None:
         """Heed new settings; a watch that waits longer than they allow gets company when theirs is over."""
@@ -177,7 +200,9 @@
 
     def poll(self, now: float, version: int) -> Step:
         """The calls to make and to close now; `version` is the newest that is known, negative for none."""
-        self._drop([call for call in self._open if now >= self._listened_to_until(call)])
+        overdue = [call for call in self._open if now >= self._listened_to_until(call)]
+        self._drop([call for call in overdue if call in self._connected_at], DropReason.NO_ANSWER)
+        self._drop([call for call in overdue if call in self._open], DropReason.NO_CONNECTION)
         make = []
         if self._on and now >= self._next_at:
             self._note_lateness()
@@ -222,7 +247,8 @@
         if call.address != self._address or (self._whole and call.index is not None):
             return True  # the list that is asked for is still to come
         self._lease.answered(call.made_at)
-        self._drop(older)
+        self._answered_call_at = max(self._answered_call_at, call.made_at)
+        self._drop(older, DropReason.NEWER_ANSWERED)
         before, self._since_answer = self._since_answer, _Progress()
         self._whole = False
         if call.short:
@@ -232,7 +258,7 @@
             self._lease.lost(Loss.CERTAIN, call.made_at, now)
         if self._lease.lacks_answer:  # the call that answers it is not to wait for a change
             self._since_answer.lost = True
-        self._drop([one for one in self._open if one not in self._connected_at])
+        self._drop([one for one in self._open if one not in self._connected_at], DropReason.NEEDLESS)
         if self._open and not incomplete:
             return True  # a newer call is out, and will be answered
         self._next_at = now
@@ -359,7 +385,7 @@
         self._open.remove(call)
         self._connected_at.pop(call, None)
 
-    def _drop(self, calls: list[ListCall]) -> None:
-        self._dropped += calls
+    def _drop(self, calls: list[ListCall], reason: DropReason) -> None:
+        self._dropped += [DroppedCall(call, reason) for call in calls]
         for call in list(calls):
             self._forget(call)
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from random import Random
+from typing import Any
 
 from mountgauge.clients import Clients
 from mountgauge.connections.registry import Registry
@@ -17,6 +19,7 @@
 from mountgauge.platform.watch_bounds import WatchBounds
 from mountgauge.router import Router
 from mountgauge.run.base import Runtime, socket_shares
+from mountgauge.snapshot import Snapshot
 
 log = logging.getLogger("mountgauge.run")
 
@@ -53,6 +56,14 @@
             self.discovery.begin_pushed()
         await super().start()
 
+    def snapshot(self) -> Snapshot:
+        found = super().snapshot()
+        found.counts.update(self.discovery.counts)
+        return found
+
+    def state(self) -> Mapping[str, Any]:
+        return {**super().state(), **self.discovery.state()}
+
     def _fresh(self) -> bool:
         """Whether all that discovery has written has been read; else calls are tried again soon."""
         if not self.discovery.unread:
--- a/tests/platform/mutants.py
+++ b/tests/platform/mutants.py
@@ -6,7 +6,7 @@
 from mountgauge.core.config import MapUpdate
 from mountgauge.core.hop_table import Change, HopTable
 from mountgauge.core.ports import Call, Item
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch, DropReason, Failure, ListCall
 from mountgauge.platform.watch_bounds import WatchBounds
 from tests.platform.simulation import Parts
 
@@ -45,7 +45,7 @@
     """A call that has got no answer in time is closed when the next one is made."""
 
     def _make(self, now: float, version: int) -> ListCall:
-        self._drop(list(self._open))
+        self._drop(list(self._open), DropReason.NEWER_ANSWERED)
         return super()._make(now, version)
 
 
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -307,8 +307,8 @@
     def step(self) -> None:
         """Make and close the calls that are due."""
         found = self.watch.poll(self._time.now(), self.version)
-        for call in found.drop:
-            if (exchange := self._exchanges.pop(call, None)) is not None:
+        for dropped in found.drop:
+            if (exchange := self._exchanges.pop(dropped.call, None)) is not None:
                 self._discovery.close(exchange)
         for call in found.make:
             exchange = self._exchanges[call] = self._discovery.take(call)
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -49,7 +49,7 @@
 
     def poll(self) -> list[ListCall]:
         step = self.watch.poll(self.now, self.version)
-        self.dropped += step.drop
+        self.dropped += [dropped.call for dropped in step.drop]
         return list(step.make)
 
     def call(self, connects: bool = True) -> ListCall:
