--- a/tests/crossings/test_notified.py
+++ b/tests/crossings/test_notified.py
@@ -88,9 +88,20 @@
 class World(Platform):
     """A sender with two endpoints of one destination, and a client that hands in messages all the time."""
 
-    def __init__(self, folder: Path, script: list[str], mode: str = "subscribe", ask_s: float = 10.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        script: list[str],
+        mode: str = "subscribe",
+        ask_s: float = 10.0,
+        senders: int | None = None,
+        answer_s: float = 0.0,
+    ) -> None:
+        """`senders`: that share discovery, as the settings count them; `answer_s`: that each answer of
+        discovery takes.
+        """
         super().__init__(folder)
-        self.mode, self.ask_s = mode, ask_s
+        self.mode, self.ask_s, self.senders, self.answer_s = mode, ask_s, senders, answer_s
         # The one that leaves is the quicker one, so that it is always wanted.
         self.stays, self.leaver = HttpServer(self.take("stays", 0.7)), HttpServer(self.take("leaver", 0.0))
         self.taken: dict[str, list[float]] = {"stays": [], "leaver": []}
@@ -109,20 +120,27 @@
                 "state": "active", "weight": 1.0, "started_ms": 0}  # fmt: skip
 
     async def __aenter__(self) -> World:
+        await self.begin()
+        await until(lambda: self.taken["leaver"])
+        return self
+
+    async def begin(self) -> None:
+        """Start all parts, and wait for none of them."""
         await self.stays.start()
         await self.leaver.start()
         self.lines = [self.line("stays", self.stays), self.line("leaver", self.leaver)]
         self.list = ScriptedDiscovery([dict(line) for line in self.lines], self.script)
+        self.list.delay_s = self.answer_s
         self.discovery = self.list
         self.process = await self.start()
         self.client = asyncio.create_task(self.hand_in())
-        await until(lambda: self.taken["leaver"])
-        return self
 
     def config(self, discovery: HttpServer) -> dict[str, Any]:
         grades = [grade(name="safe")]
         env = settings(shapes=["one", "two"], grades=grades, discovery=self.mode)
         env["obligations"]["askWithin"] = self.ask_s
+        if self.senders is not None:
+            env["balancers"] = self.senders
         return {
             "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{discovery.port}",
             "seed": "1f", "limits": {"memory_mb": 192, "sockets": 256, "disk_mb": 3},
@@ -155,6 +173,10 @@
         await until(lambda: self.taken["stays"] and self.taken["stays"][-1] > due)  # served all the time
 
     async def __aexit__(self, *_: object) -> None:
+        await self.end()
+
+    async def end(self) -> None:
+        """Stop all parts."""
         self.client.cancel()
         self.process.kill()
         await self.process.wait()
