--- a/mountgauge/platform/call_log.py
+++ b/mountgauge/platform/call_log.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from mountgauge.log import LineBudget, kv
-from mountgauge.platform.watch import Failure, ListCall
+from mountgauge.platform.list_call import Failure, ListCall
 
 log = logging.getLogger("mountgauge.platform.discovery")
 
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -22,7 +22,8 @@
 from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.call_log import CallEvent, CallLog
-from mountgauge.platform.watch import DiscoveryWatch, DroppedCall, DropReason, Failure, ListCall
+from mountgauge.platform.list_call import DroppedCall, DropReason, Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
 from rillspindle.list_evidence import AnsweredCall, ListEvidence
 
--- a/tests/platform/mutants.py
+++ b/tests/platform/mutants.py
@@ -7,7 +7,8 @@
 from mountgauge.core.hop_table import Change, HopTable
 from mountgauge.core.list_lease import LeaseEnd
 from mountgauge.core.ports import Call, Item
-from mountgauge.platform.watch import DiscoveryWatch, DropReason, Failure, ListCall
+from mountgauge.platform.list_call import DropReason, Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
 from tests.platform.simulation import Parts
 
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -24,7 +24,8 @@
 from mountgauge.core.ports import Call, Item, NextHop
 from mountgauge.core.send_state import SendState
 from mountgauge.core.waits import Waits
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.list_call import Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
 from rillspindle.interface import Entry, Readiness, Settings
 from rillspindle.send_monitor import SendMonitor
--- a/tests/platform/test_asked_again.py
+++ b/tests/platform/test_asked_again.py
@@ -8,7 +8,8 @@
 from hypothesis import settings as options
 from hypothesis import strategies as st
 
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.list_call import Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import JITTER, MOST_LOST_RETRY, WatchBounds
 from tests.platform.test_list_lease import bounds
 
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -8,7 +8,8 @@
 import pytest
 
 from mountgauge.core.list_lease import BURST_S, DOWN_AFTER_S, HOLD_UP_S, LeaseEnd, LeaseTerms, ListLease, Loss
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.list_call import Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import ANSWER_MARGIN_S, REFUSAL_TRANSIT_S, WatchBounds
 from rillspindle.interface import Settings
 from tests.settings import settings
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from mountgauge.platform.watch import DiscoveryWatch, Failure, ListCall
+from mountgauge.platform.list_call import Failure, ListCall
+from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import (
     ANSWER_MARGIN_S,
     DIAL_LIFE_S,
