Divide discovery's sockets by exchange and map; reproduce calls that never left as a test that fails

Change: platform/list_exchange.py has one call's sockets, moved as they were, with a Protocol for who is told.

--- a/mountgauge/lab/scale/limits.py
+++ b/mountgauge/lab/scale/limits.py
@@ -10,7 +10,7 @@
 from mountgauge.lab.scale.fit import Fit
 from mountgauge.lab.scale.kept import Kept, Slopes
 from mountgauge.lab.scale.size import FleetSize
-from mountgauge.platform import discovery
+from mountgauge.platform import list_exchange
 from mountgauge.recovery import bounds as recovery_bounds
 
 FACTS_PER_S = 1.0  # writes of what is to be remembered (`run.recovery`)
@@ -18,7 +18,7 @@
 BUDGET_TICKS_PER_S = 20.0  # asks of the core what waits (`budgets.service.TICK_S`)
 ONE_CORE = 1.0
 LONGEST_PAUSE_S = recovery_bounds.paused(0.25)  # of the loop, after which what is known is too old
-MOST_LIST_BYTES = float(discovery.MOST_LIST_BYTES)  # of one answer of discovery
+MOST_LIST_BYTES = float(list_exchange.MOST_LIST_BYTES)  # of one answer of discovery
 EXPORT_EVERY_S = 10.0  # default of `[otlp]`
 LIMIT_SEARCH_MOST = 1e15
 
@@ -134,7 +134,7 @@
             (Term("discovery-list-bytes"),),
             MOST_LIST_BYTES,
             Unit.BYTES,
-            "mountgauge.platform.discovery.MOST_LIST_BYTES",
+            "mountgauge.platform.list_exchange.MOST_LIST_BYTES",
         ),
         of_destinations(
             "recovery's looks: processor time",
--- a/mountgauge/lab/scale/roles.py
+++ b/mountgauge/lab/scale/roles.py
@@ -294,7 +294,7 @@
             Row(
                 "a whole list",
                 summed(kept.slopes, whole, at, Unit.BYTES, MOST_LIST_BYTES),
-                "mountgauge.platform.discovery.MOST_LIST_BYTES",
+                "mountgauge.platform.list_exchange.MOST_LIST_BYTES",
             ),
             Row(
                 "bytes out for restarts, no relays",
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -15,24 +15,20 @@
 
 import orjson
 
-from mountgauge.connecting import connect
 from mountgauge.core.config import Address, MapUpdate, Names
 from mountgauge.core.list_lease import LeaseEnd
-from mountgauge.http1 import Connection, Message, State, request
+from mountgauge.http1 import Connection, Message, State
 from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.call_log import CallEvent, CallLog
 from mountgauge.platform.list_call import DroppedCall, DropReason, Failure, ListCall
+from mountgauge.platform.list_exchange import ListExchange
 from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
 from rillspindle.list_evidence import AnsweredCall, ListEvidence
 
 log = logging.getLogger("mountgauge.platform.discovery")
 
-MOST_LIST_BYTES = 8 << 20
-# In which an answer that has begun must be whole: the rest of it would count as notified without having come.
-MOST_REST_S = 2.0
-
 
 class MapOwner(Protocol):
     """Who is told of lists: the core."""
@@ -43,89 +39,6 @@
         """A whole list, or what has changed, has come."""
 
 
-class ListExchange:
-    """One call to discovery on its connection, from the dial to the whole answer."""
-
-    def __init__(self, discovery: TransportMap, call: ListCall, address: Address) -> None:
-        self._discovery, self.call, self._address = discovery, call, address
-        self._connection: Connection | None = None
-        self._dial: asyncio.Task[None] | None = None
-
-    def begin(self, kept: Connection | None) -> None:
-        """Ask on the kept connection, or dial."""
-        if kept is not None:
-            self._ask_if_needed(kept)
-        else:
-            self._dial = asyncio.get_running_loop().create_task(self._connect())
-
-    async def _connect(self) -> None:
-        connection = Connection(self._discovery.lost, MOST_LIST_BYTES, MOST_REST_S)
-        try:
-            await connect(lambda: connection, self._address.host, self._address.port, limit=None)
-        except OSError as error:
-            refused = isinstance(error, ConnectionRefusedError)
-            failure = Failure.REFUSED if refused else Failure.UNREACHED
-            self._discovery.failed(self, failure, f"{type(error).__name__}: {error}")
-            return
-        except asyncio.CancelledError:
-            connection.close()
-            raise
-        self._dial = None
-        if connection.state is not State.IDLE:
-            self._discovery.failed(self, Failure.REFUSED, "the connection broke at once")
-            return
-        self._ask_if_needed(connection)
-
-    def _ask_if_needed(self, connection: Connection) -> None:
-        if self._discovery.connected(self):
-            self._ask(connection)
-        else:
-            connection.close()
-
-    def _ask(self, connection: Connection) -> None:
-        self._connection = connection
-        path = "/registry/instances"
-        if self.call.index is not None:
-            path += f"?index={self.call.index}&wait={max(1, int(self.call.wait_s * 1000))}"
-        host = f"{self._address.host}:{self._address.port}"
-        connection.begin(request("GET", path, host, {}), self._finished)
-
-    def _finished(self, message: Message, flushed: bool) -> None:
-        connection, self._connection = self._connection, None
-        assert connection is not None
-        if message.whole:
-            self._discovery.answered(self, message, connection)
-        elif connection.answer_arrived:
-            why = "stopped" if connection.overdue else "broke off"
-            self._discovery.failed(self, Failure.SPOILT, f"the answer {why} half-way")
-        else:
-            self._discovery.failed(self, Failure.BROKEN, "the connection ended without an answer")
-
-    @property
-    def lies_unsent(self) -> bool:
-        """Whether the call has not left in full: discovery does not know that anybody watches."""
-        return self._connection is not None and not self._connection.flushed
-
-    @property
-    def is_coming(self) -> bool:
-        """Whether something that discovery has written waits to be read, or a part of it has been."""
-        if self._connection is None:
-            return False
-        return self._connection.answer_begun or not self._connection.silent
-
-    @property
-    def answer_arrived(self) -> bool:
-        """Whether bytes of the answer have arrived."""
-        return self._connection is not None and self._connection.answer_arrived
-
-    def close(self) -> None:
-        """Nobody listens to the answer any more."""
-        if self._dial is not None:
-            self._dial.cancel()
-        if self._connection is not None:
-            self._connection.close()
-
-
 class TransportMap:
     """Keeps the owner's list as discovery has it."""
 
--- a/mountgauge/platform/list_call.py
+++ b/mountgauge/platform/list_call.py
@@ -12,7 +12,7 @@
     """How a call failed."""
 
     REFUSED = "refused"  # the connection was refused: discovery is down
-    UNREACHED = "unreached"  # no connection, for a reason that says nothing of discovery
+    UNREACHED = "unreached"  # the call has not left in full, for a reason that says nothing of discovery
     BUSY = "busy"  # another status than 200: discovery is there, and nothing of the list was written
     BROKEN = "broken"  # asked, and the connection ended: an answer may have been written and lost with it
     SPOILT = "spoilt"  # bytes of an answer had arrived, and it broke off or could not be read
--- a/tests/crossings/test_list_lease.py
+++ b/tests/crossings/test_list_lease.py
@@ -16,6 +16,7 @@
 import pytest
 
 from mountgauge.core.config import Address, MapUpdate
+from mountgauge.core.list_lease import DOWN_AFTER_S
 from mountgauge.http1 import response
 from mountgauge.platform.discovery import TransportMap
 from mountgauge.platform.watch_bounds import WatchBounds
@@ -362,3 +363,19 @@
             assert not world.calls
 
     helper.run(main())
+
+
+def test_a_call_that_has_not_left_shows_nothing_of_discovery() -> None:
+    """The soak's seed 6105: each write failed on this machine for 1 s, which passed for a discovery that is
+    down and breaks each call; then its calls hung, and the list was believed for 6 s more.
+    """
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with watching(faults) as world:
+            faults.always("write", errno.ECONNRESET)
+            world.discovery.standing[0].transport.abort()
+            assert await world.looks_until(loop_reaches(loop.time() + 2 * DOWN_AFTER_S)) == []
+            faults.always("write", None)
+            await until(lambda: not world.held_back())
+
+    run_faulty(main)
