Take a call to discovery that has not left in full to show nothing

Change: it is told as unreached, like a dial that fails on this machine: discovery has not had the call, so nothing was written for it, and nothing is known of discovery.

--- a/mountgauge/platform/list_exchange.py
+++ b/mountgauge/platform/list_exchange.py
@@ -86,6 +86,8 @@
         elif connection.answer_arrived:
             why = "stopped" if connection.overdue else "broke off"
             self._owner.failed(self, Failure.SPOILT, f"the answer {why} half-way")
+        elif not flushed:
+            self._owner.failed(self, Failure.UNREACHED, "the connection ended before the call had left")
         else:
             self._owner.failed(self, Failure.BROKEN, "the connection ended without an answer")
 
