Heed relays that all break their calls, and what a cut link keeps from being told

The soak's long silences end before the run does, and an end that came as soon as the link carried it again is not late; one that never came is lost as before.

--- a/mountgauge/lab/soak/draw.py
+++ b/mountgauge/lab/soak/draw.py
@@ -126,6 +126,10 @@
         for name, every_s in every.items()
         for fault in _series(random.Random(f"soak/{seed}/{name}"), makers[name], every_s, end, members)
     ]
+    # A link that is silent to the end would keep the last ends from being told.
+    faults = [
+        {**one, "for_s": min(one["for_s"], end - one["at"])} if "half_open" in one else one for one in faults
+    ]
     kills = random.Random(f"soak/{seed}/drained-then-killed")
     for _ in range(kills.randrange(1, 4)):
         faults += _drained_then_killed(kills, kills.uniform(1.0, max(1.0, end - 2.0)), members)
--- a/mountgauge/sharding/evidence.py
+++ b/mountgauge/sharding/evidence.py
@@ -3,7 +3,8 @@
 What a relay writes counts as notified, and what it has counts some seconds later (`core/list_lease`). So a
 whole answer of any relay renews the lease on the list, from when its call was made; a relay that is itself
 cut off tells what it has, and its age. That one relay refuses a call shows nothing, as another one may have
-news; once each of them has, one after another, nobody can tell any. A silent relay moves nothing.
+news; once each of them has, one after another, nobody can tell any, nor once each breaks its calls for as
+long as shows an outage. A silent relay moves nothing.
 """
 
 from __future__ import annotations
@@ -40,14 +41,18 @@
 
     def failed(self, call: RelayCall, failure: RelayFailure, now: float) -> None:
         """A call has ended without one."""
+        if failure in (RelayFailure.REFUSED, RelayFailure.BROKEN):
+            self._refused[call.relay] = call.made_at
+        nobody_answers = self._refused.keys() >= self._relays
         if failure is RelayFailure.UNREADABLE:
             self.lease.lose(Loss.CERTAIN, now)
+        elif failure is RelayFailure.REFUSED and nobody_answers:
+            self.lease.unreachable(min(self._refused.values()))
         elif failure is RelayFailure.BROKEN and call.lane is Lane.WATCH:
-            self.lease.lose(Loss.POSSIBLE, now)
-        if failure in (RelayFailure.REFUSED, RelayFailure.BROKEN):
-            self._refused[call.relay] = call.made_at
-            if self._refused.keys() >= self._relays:
-                self.lease.unreachable(min(self._refused.values()))
+            if nobody_answers:
+                self.lease.broke(call.made_at, now)
+            else:
+                self.lease.lose(Loss.POSSIBLE, now)
 
     def ended(self, now: float) -> LeaseEnd | None:
         """Why the list may not be gone by now; None: it may."""
--- a/tests/sharding/test_evidence.py
+++ b/tests/sharding/test_evidence.py
@@ -72,3 +72,16 @@
     assert (found.ended(11.6) is LeaseEnd.ANSWER_LOST) is lost, "made before the loss"
     found.answered(call(11.5))
     assert found.ended(11.6) is None
+
+
+def test_relays_that_all_go_on_breaking_their_calls_are_down() -> None:
+    found = answered()
+    found.failed(call(11.0), RelayFailure.BROKEN, 11.0)
+    found.failed(call(11.5, "two"), RelayFailure.BROKEN, 11.5)
+    assert found.ended(11.5) is LeaseEnd.ANSWER_LOST
+    found.failed(call(12.6), RelayFailure.BROKEN, 12.6)
+    assert found.ended(12.6) is None
+    alone = answered()
+    for made_at in (11.0, 12.6, 15.0):
+        alone.failed(call(made_at), RelayFailure.BROKEN, made_at)
+        assert alone.ended(made_at) is LeaseEnd.ANSWER_LOST, "the other one may have news"
