--- a/mountgauge/file_map.py
+++ b/mountgauge/file_map.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from mountgauge.core.config import ConfigError, FileUnreadableError
 from mountgauge.core.list_lease import LeaseEnd, LeaseTerms, ListLease
@@ -42,6 +43,10 @@
         """What ended the lease on the file."""
         return self._lease_log.counts
 
+    def state(self) -> Mapping[str, Any]:
+        """For the state line: whether calls may go by the file, and how old the newest look is."""
+        return self._lease_log.state(self._now() - self._lease.evidence_at)
+
     def lease_ended(self, dest: int) -> LeaseEnd | None:
         """Why calls may not go by what is known of the file: a look that is late is made up for at once."""
         if self._lease.ended(self._now()) is not None:
--- a/mountgauge/lease_log.py
+++ b/mountgauge/lease_log.py
@@ -5,6 +5,8 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Mapping
+from typing import Any
 
 from mountgauge.core.list_lease import LeaseEnd
 from mountgauge.log import kv
@@ -32,5 +34,12 @@
             self.counts[LEASE, ended] += 1
         if (before is None or before in _BRIEF) and (ended is None or ended in _BRIEF):
             return
-        age = "never" if math.isinf(age_s) else round(age_s, 3)
-        log.info("list-lease", extra=kv(state=ended or "valid", before=before or "valid", age_s=age))
+        log.info("list-lease", extra=kv(state=ended or "valid", before=before or "valid", age_s=_age(age_s)))
+
+    def state(self, age_s: float) -> Mapping[str, Any]:
+        """For the state line: whether calls may go by the list as of the newest look, and its evidence's age."""
+        return {"list_lease": self.ended or "valid", "list_age_s": _age(age_s)}
+
+
+def _age(age_s: float) -> object:
+    return "never" if math.isinf(age_s) else round(age_s, 3)
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import math
 from collections import Counter
 from collections.abc import Mapping
 from random import Random
@@ -106,11 +105,10 @@
 
     def state(self) -> Mapping[str, Any]:
         """For the state line: how old the list is, and the calls that are out."""
-        now = self._now()
-        age_s, out = self._watch.list_age_s(now), self._watch.open_calls
+        now, out = self._now(), self._watch.open_calls
+        self.lease_ended()
         return {
-            "list_lease": self.lease_ended() or "valid",
-            "list_age_s": "never" if math.isinf(age_s) else round(age_s, 3),
+            **self._lease.state(self._watch.list_age_s(now)),
             "list_calls_out": len(out),
             "list_call_oldest_s": round(now - out[0].made_at, 3) if out else 0.0,
         }
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -184,6 +184,10 @@
         """What ended the lease on the list."""
         return self._lease_log.counts
 
+    def state(self) -> Mapping[str, Any]:
+        """For the state line: whether calls may go by the list, and how old the newest evidence is."""
+        return self._lease_log.state(self._loop.time() - self._evidence.lease.evidence_at)
+
     def lease_ended(self, dest: int) -> LeaseEnd | None:
         """Why no call may go by the list now; None: all may."""
         now = self._loop.time()
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -71,6 +71,9 @@
     def counts(self) -> Counter[tuple[str, str]]:
         """What has become of its calls, and what ended the lease on the list."""
 
+    def state(self) -> Mapping[str, Any]:
+        """For the state line."""
+
     def look_now(self) -> bool:
         """Look at the list anew; whether that is done, or its answer is still to come."""
 
@@ -170,8 +173,8 @@
         return found
 
     def state(self) -> Mapping[str, Any]:
-        """What the subsystems add to the state line."""
-        found: dict[str, Any] = {}
+        """What the list's source and the subsystems add to the state line."""
+        found = dict(self.map.state())
         for subsystem in self.subsystems:
             found |= subsystem.state()
         return found
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
 from random import Random
-from typing import Any
 
 from mountgauge.clients import Clients
 from mountgauge.connections.registry import Registry
@@ -56,9 +54,6 @@
         self.add_console(self.front)
         self.connect()
 
-    def state(self) -> Mapping[str, Any]:
-        return {**super().state(), **self.discovery.state()}
-
     def _lease_ended(self, dest: int) -> LeaseEnd | None:
         """Why no call may go by the list; calls that wait are tried again soon."""
         ended = self.discovery.lease_ended()
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -103,6 +103,20 @@
     assert lease.ended(down_at + 0.01) is None and lease.until == pytest.approx(down_at + TERM_S)
 
 
+def test_calls_that_break_after_a_while_or_beside_one_that_is_out_show_no_outage() -> None:
+    """The soak's seed 6204: discovery let calls hang, and the link was reset at 5.87, 6.96 and 12.19 s."""
+    for asked_s, alone in ((0.4, True), (0.0, False)):
+        lease = confirmed(9.0)
+        for at in (10.0, 11.5, 13.0, 20.0):
+            assert lease.broke(at - asked_s, at, alone)
+            assert lease.ended(at) is LeaseEnd.ANSWER_LOST
+    lease = confirmed(9.0)
+    lease.broke(10.0, 10.0)
+    lease.broke(10.5, 11.0)
+    assert lease.broke(11.5, 11.5), "the row begins anew behind one that was out for long"
+    assert not lease.broke(12.5, 12.5)
+
+
 def test_in_an_outage_a_call_that_breaks_is_believed_to_tell_nothing_once_the_next_one_breaks_too() -> None:
     """Its answer may have been lost as the source came back."""
     lease, at = confirmed(9.0), 10.0 + DOWN_AFTER_S
