Take breaks for an outage only where they come at once and no other call is out

Change: a break later than 0.25 s after the call was made, or beside another call that is out, ends the row of breaks.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -15,10 +15,10 @@
 
 An answer that was lost on its way ends the lease at once, as what it told counts already (`Loss`). Only
 evidence from a call made after that brings it back: for a certain loss a whole answer, for a possible one
-also a refusal. Calls that break one after another show a source that is down and resets them, once they have
-done so for `DOWN_AFTER_S` and the last one was made `BURST_S` or more after the one before: a fault of the
-network, or of this machine, that strikes each connection is shorter. Answers that are lost in a row for
-longer than that pass for it.
+also a refusal. Calls that break one after another, each within `AT_ONCE_S` and with no other one out, show a
+source that is down and resets them, once they have done so for `DOWN_AFTER_S` and the last one was made
+`BURST_S` or more after the one before: a fault of the network that strikes each connection is shorter, and
+strikes later. Answers that are lost in a row for longer than that pass for it.
 
 A source that has moved to another address counts as having told all `moved_s` later, whatever was known of
 the old one; a source that pushes counts as having told all at once, where no call to it is out.
@@ -35,6 +35,8 @@
 HOLD_UP_S = 0.15
 # Calls that have broken for so long, with no answer in between, show a source that is down.
 DOWN_AFTER_S = 1.0
+# A source that is down breaks a call within this time; one that breaks later was out, and may be answered.
+AT_ONCE_S = 0.25
 # Resets of one moment may strike a call and the one that is made at once after it.
 BURST_S = 0.1
 
@@ -150,11 +152,14 @@
         known = self._lost.kind if self._lost is not None else kind
         self._lost = _LostAnswer(max(kind, known), now)
 
-    def broke(self, asked_at: float, now: float) -> bool:
-        """A call that was made then has broken with nothing read. Whether an answer is lost now: else this
-        shows that the source is down.
+    def broke(self, asked_at: float, now: float, alone: bool = True) -> bool:
+        """A call that was made then has broken with nothing read; `alone`: no other one is out, which a
+        source that is down would have broken too. Whether an answer is lost now: else this shows that the
+        source is down.
         """
-        if self._breaking_since is None:
+        if not alone or now - asked_at > AT_ONCE_S:
+            self._breaking_since = None
+        elif self._breaking_since is None:
             self._breaking_since = now
         if self._shows_an_outage(asked_at):
             self.unreachable(asked_at)
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -251,7 +251,8 @@
             self._lease.lose(Loss.CERTAIN, now)
             return True
         if failure is Failure.BROKEN:
-            return self._lease.broke(call.made_at, now)
+            alone = not self._connected_at.keys() - {call}
+            return self._lease.broke(call.made_at, now, alone)
         if failure in _REFUSALS and call.address == self._address:
             self._lease.unreachable(refused_at(call, failure, now))
         return False
