--- a/mountgauge/lab/rig/list_history.py
+++ b/mountgauge/lab/rig/list_history.py
@@ -10,6 +10,10 @@
 from mountgauge.lab.rig.events import Event
 from mountgauge.lab.rig.notified import Change, Life, ListCall, Slowness, Span
 
+_PROCESS_EVENTS = (
+    "gone", "sighup", "list-ask", "list-end", "list-failed", "list-hung", "dial-refused", "told",
+)  # fmt: skip
+
 
 class OpenSpans:
     """Spans of which the last may still run."""
@@ -109,7 +113,7 @@
             case "start":
                 link = self._links[f["member"]]
                 link.processes.append(Process(event.at, link.known))
-            case "gone" | "sighup" | "list-ask" | "list-end" | "list-failed" | "dial-refused" | "told":
+            case kind if kind in _PROCESS_EVENTS:
                 if processes := self._links[f["member"]].processes:
                     _process_event(processes[-1], event)
 
--- a/mountgauge/lab/soak/verdict.py
+++ b/mountgauge/lab/soak/verdict.py
@@ -106,7 +106,7 @@
 
 
 def _could_not_be_told(one: Broken, silences: Iterable[Span], lost_s: float) -> bool:
-    """Whether an end that came late came soon after the link carried it again. One that never came is lost."""
+    """Whether an end that was late came soon after the link carried it again. One that never came is lost."""
     if one.why.startswith("no end"):
         return False
     return any(span.begin <= one.at <= span.end + lost_s for span in silences)
--- a/mountgauge/lease_log.py
+++ b/mountgauge/lease_log.py
@@ -37,7 +37,7 @@
         log.info("list-lease", extra=kv(state=ended or "valid", before=before or "valid", age_s=_age(age_s)))
 
     def state(self, age_s: float) -> Mapping[str, Any]:
-        """For the state line: whether calls may go by the list as of the newest look, and its evidence's age."""
+        """For the state line: whether calls may go by the list, and how old its evidence is."""
         return {"list_lease": self.ended or "valid", "list_age_s": _age(age_s)}
 
 
--- a/tests/lab/test_notified.py
+++ b/tests/lab/test_notified.py
@@ -215,6 +215,13 @@
     assert (process.began, process.known) == (-1.0, 1)
 
 
+def test_a_call_that_discovery_lets_hang_is_silent_from_then_on() -> None:
+    found = history([*STARTED, at(0.2, "list-hung"), DRAINED], 10.0, True)
+    (process,) = found.lives("m01")
+    assert process.calls == [ListCall(0.1, 10.0, hung_at=0.2)]
+    assert notified_at(CHANGE, replace(process, known=1)) == 6.2, "not at once, though lists are pushed"
+
+
 def test_faults_of_discovery_and_of_the_link_are_read_from_events() -> None:
     found = history(
         [
