--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -253,6 +253,22 @@
     assert asked <= 9
 
 
+def test_a_sender_is_cut_off_once_its_lease_has_ended_and_no_connection_comes_up() -> None:
+    driven = Driven()
+    silent = driven.asked()
+    assert not driven.watch.cut_off(silent.made_at + 100.0), "the call is out: an end may be told"
+    driven.watch.failed(silent, Failure.BROKEN, driven.now)
+    for _ in range(3):
+        hung = driven.call()
+    assert driven.watch.cut_off(driven.now)
+    assert driven.watch.connected(hung, driven.now) and not driven.watch.cut_off(driven.now)
+    driven.watch.answered(hung, 5, driven.now)
+    assert not driven.watch.cut_off(driven.now)
+    refused = Driven()
+    refused.watch.failed(refused.call(), Failure.REFUSED, refused.now)
+    assert not refused.watch.cut_off(refused.now + 100.0), "discovery is down, and says so"
+
+
 def test_a_refusal_in_words_counts_from_its_end_less_its_time_on_the_way() -> None:
     """It was written no sooner, however long discovery had let the call wait; a refused connection may be so
     at any time since it was begun.
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -144,6 +144,19 @@
     assert bench.ends == {"a": End(Status.DELIVERED)} and not bench.journal.live and not bench.sender.held
 
 
+def test_nothing_is_taken_on_that_could_be_neither_sent_nor_ended(bench: Bench) -> None:
+    """The way to the platform is cut, and the list is not believed any more: its end could not be told."""
+    cut = True
+    bench.sender.admission.cut_off = lambda: cut
+    bench.take("a")
+    bench.pass_time(0.01)
+    assert bench.answers["a"] == End(Status.DEFERRED, 250) and not bench.journal.live and not bench.calls
+    cut = False
+    bench.take("b")
+    bench.pass_time(0.01)
+    assert bench.answers["b"] == Taken() and len(bench.calls) == 1
+
+
 def test_what_arrives_in_one_tick_travels_as_one_call(tmp_path: Path) -> None:
     bench = Bench(tmp_path)
     bench.sender.start(bench.hops(Readiness.READY, kind=1))
