--- a/mountgauge/core/admission.py
+++ b/mountgauge/core/admission.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Callable
 
 from mountgauge.core.attempts import Attempts
 from mountgauge.core.config import Names
@@ -41,6 +42,8 @@
         self.gate: Gate | None = None  # where tenants are counted
         # Discovery has told this process of the whole list, or that the known one holds.
         self.list_told = False
+        # Whether a message that is taken on now could be neither sent nor ended.
+        self.cut_off: Callable[[], bool] = lambda: False
         self._policy, self._journal, self._table, self._held = policy, journal, table, held
         self._attempts, self._ends, self._counts, self._began = attempts, ends, counts, began
 
@@ -66,6 +69,9 @@
             return known
         if not send_guard.may_take_on(bool(self._journal.unread), now - self._began):
             return End(Status.DEFERRED, _ASK_AGAIN_MS)
+        if self.cut_off():
+            self._counts["refused", "cut-off"] += 1
+            return End(Status.DEFERRED, _ASK_AGAIN_MS)
         scope = self._ends.scope
         if scope is not None and not scope.accepts(one.dest):
             return End(Status.DEFERRED)  # another sender's, or not known yet: it may be handed in there
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -120,6 +120,10 @@
         self._lease.note(ended, self._watch.list_age_s(now))
         return ended
 
+    def cut_off(self) -> bool:
+        """Whether what is taken on now could be neither sent nor ended: the way to the platform is cut."""
+        return self._watch.cut_off(self._now())
+
     def _exchanges_end_it(self) -> LeaseEnd | None:
         if any(exchange.is_coming for exchange in self._exchanges.values()):
             return LeaseEnd.ANSWER_UNREAD
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -107,6 +107,13 @@
         """Why nothing may be sent by the list now; None: it may."""
         return self._lease.ended(now)
 
+    def cut_off(self, now: float) -> bool:
+        """Whether the lease has ended and no connection comes up: nothing may be sent, and the platform can't
+        be told of an end either.
+        """
+        hung = self._since_answer.unreachable_since is not None and not self._connected_at
+        return hung and self._lease.ended(now) is not None
+
     def start(self, now: float) -> None:
         """Watch from now on; nothing changes where it does already."""
         if not self._on:
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -43,6 +43,7 @@
         self.discovery = TransportMap(self.sender, config.discovery, names, bounds, random, self._evidence)
         self._recheck: asyncio.TimerHandle | None = None
         self.sender.list_lease = self._lease_ended
+        self.sender.admission.cut_off = self.discovery.cut_off
         self.map = self.discovery
         self.registry = Registry(platform_settings(clients))
         deadlines = [grade.deadline for grade in rules.grades]
