Count a sender as cut off beside a silent call too

Cause: a watch that fell silent with a cut is listened to for 10.5 s, in which the sender did not count as cut off though its lease had ended 4 s before and dials hung.

Change: dials that hang count, whatever else is out.

Measured: test_list_lease 95 passed.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -111,7 +111,7 @@
         """Whether the lease has ended and no connection comes up: nothing may be sent, and the platform can't
         be told of an end either.
         """
-        hung = self._since_answer.unreachable_since is not None and not self._connected_at
+        hung = self._since_answer.unreachable_since is not None
         return hung and self._lease.ended(now) is not None
 
     def start(self, now: float) -> None:
