Ask an agent anew behind a gap, and take breaks round something that hung for no row

Change: where lists are pushed and no call was out for longer than the grace allows, only an answer to a call made since lets calls go again; a request that leaves late is told to the watch, which then asks for an answer at once. Between two breaks of a row nothing may have hung or failed on this machine. The rest of 0.1 s with an agent is 0.08 s, so that a rest is no such gap.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -149,8 +149,8 @@
 
     def lose(self, kind: Loss, now: float) -> None:
         """An answer has not been taken in."""
-        known = self._lost.kind if self._lost is not None else kind
-        self._lost = _LostAnswer(max(kind, known), now)
+        before = self._lost or _LostAnswer(kind, now)
+        self._lost = _LostAnswer(max(kind, before.kind), max(now, before.at))
 
     def broke(self, asked_at: float, now: float, alone: bool = True) -> bool:
         """A call that was made then has broken with nothing read; `alone`: no other one is out, which a
@@ -167,14 +167,24 @@
             self.lose(Loss.POSSIBLE, now)
         return self.lacks_answer
 
+    def hung(self) -> None:
+        """A call, or its connection, has not come to an end in time, or failed on this machine: a source that
+        is down would have broken it, so breaks before and after it are no row.
+        """
+        self._breaking_since = None
+
     def moved(self, now: float) -> None:
         """The source has another address. Of two moves without an answer the first one counts."""
         if self._moved_at is None:
             self._moved_at = now
 
-    def asked(self) -> None:
-        """A call is out."""
-        self._no_call_since = None
+    def asked(self, made_at: float, now: float) -> None:
+        """A call that was made then is out. Where none has been for too long, what the source got meanwhile
+        has counted already, and only an answer tells of it.
+        """
+        since, self._no_call_since = self._no_call_since, None
+        if since is not None and now - since >= self.terms.not_asked_s:
+            self.lose(Loss.POSSIBLE, made_at)
 
     def not_asked(self, now: float) -> None:
         """No call is out any more."""
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -143,6 +143,16 @@
         self._wake_in_time()
         return asks
 
+    def unsent(self, exchange: ListExchange) -> None:
+        """Its request lies in the process, as the socket does not take it."""
+        self._watch.unsent(self._now())
+
+    def sent(self, exchange: ListExchange) -> None:
+        """Such a request has left in full."""
+        if exchange.call in self._exchanges:
+            self._watch.sent(exchange.call, self._now())
+            self._step()
+
     def answered(self, exchange: ListExchange, message: Message, connection: Connection) -> None:
         """A whole answer has come."""
         if self._exchanges.pop(exchange.call, None) is None:
--- a/mountgauge/platform/list_exchange.py
+++ b/mountgauge/platform/list_exchange.py
@@ -13,6 +13,7 @@
 MOST_LIST_BYTES = 8 << 20
 # In which an answer that has begun must be whole: the rest of it would count as notified without having come.
 MOST_REST_S = 2.0
+LOOK_S = 0.02  # between two looks whether a request that the socket did not take has left
 
 
 class ExchangeOwner(Protocol):
@@ -21,6 +22,12 @@
     def connected(self, exchange: ListExchange) -> bool:
         """Its connection has come up; whether it is to ask."""
 
+    def unsent(self, exchange: ListExchange) -> None:
+        """Its request lies in the process, as the socket does not take it."""
+
+    def sent(self, exchange: ListExchange) -> None:
+        """Such a request has left in full."""
+
     def answered(self, exchange: ListExchange, message: Message, connection: Connection) -> None:
         """A whole answer has come."""
 
@@ -77,6 +84,15 @@
             path += f"?index={self.call.index}&wait={max(1, int(self.call.wait_s * 1000))}"
         host = f"{self._address.host}:{self._address.port}"
         connection.begin(request("GET", path, host, {}), self._finished)
+        if self.lies_unsent:
+            self._owner.unsent(self)
+            self._look_whether_sent()
+
+    def _look_whether_sent(self) -> None:
+        if self.lies_unsent:
+            asyncio.get_running_loop().call_later(LOOK_S, self._look_whether_sent)
+        elif self._connection is not None:
+            self._owner.sent(self)
 
     def _finished(self, message: Message, flushed: bool) -> None:
         connection, self._connection = self._connection, None
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -172,7 +172,7 @@
             self._forget(call, now)
             return False
         self._connected_at[call] = now
-        self._lease.asked()
+        self._lease.asked(call.made_at, now)
         if not call.short:
             self._next_at = now + call.wait_s + ANSWER_MARGIN_S
         else:
@@ -183,6 +183,19 @@
             self._next_at = now + limit
         return True
 
+    def unsent(self, now: float) -> None:
+        """The call that has just been asked lies unsent."""
+        self._lease.not_asked(now)
+
+    def sent(self, call: ListCall, now: float) -> None:
+        """It has left in full, late."""
+        if call not in self._connected_at:
+            return
+        self._lease.asked(call.made_at, now)
+        if self._lease.lacks_answer and not call.short:  # it would wait for a change before it is answered
+            self._since_answer.lost = True
+            self._next_at = now
+
     def wakes_at(self) -> float:
         """When to poll next, if nothing happens before."""
         return min([self._next_at, *map(self._listened_to_until, self._open)])
@@ -280,6 +293,7 @@
         nothing, so the next is begun as soon.
         """
         self._forget(call, now)
+        self._lease.hung()
         if self._is_replaced(call):
             return
         state = self._since_answer
@@ -322,6 +336,7 @@
         """The newest call has not been answered, or its connection has not come up, in time."""
         if not self._open:
             return
+        self._lease.hung()
         state, newest = self._since_answer, self._open[-1]
         state.lost = True
         if newest in self._connected_at:
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -85,9 +85,9 @@
 # would belong to the watch, and what changes in it would be notified before it can be read.
 FIRST_REST_S = 0.3
 MOST_REST_S = 2.0
-# Where lists are pushed, what the agent has counts as notified at once, also during a rest: with a hold-up of
-# 0.15 s and the answer it must be within the grace of a drain.
-PUSHED_REST_S = 0.1
+# Where lists are pushed, what the agent has counts as notified at once, also during a rest: the next call has
+# to be out within the grace of a drain less a hold-up of 0.15 s, or only its answer lets calls go again.
+PUSHED_REST_S = 0.08
 
 
 @dataclass(frozen=True, slots=True)
