--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -61,6 +61,28 @@
     assert lease.until == pytest.approx(12.0 + TERM_S)
 
 
+def test_a_refusal_renews_no_lease_that_has_run_out() -> None:
+    """The soak's seed 54: a process whose calls had hung since its start, for 9 s; then discovery went down.
+    What had changed 8 s before counted already.
+    """
+    lease = confirmed(10.0)
+    lease.unreachable(10.0 + NOTIFIED_S + FAIR)
+    assert lease.ended(17.0) is LeaseEnd.EXPIRED
+    lease.confirm(17.0)
+    for at in (23.0, 29.0, 35.0):  # an outage that lasts
+        lease.unreachable(at)
+        assert lease.ended(at) is None
+
+
+def test_a_new_process_is_refused_within_the_rules_time_or_waits_for_an_answer() -> None:
+    for refused_at, ended in ((16.0, None), (16.1, LeaseEnd.UNHEARD)):
+        lease = ListLease(TERMS)
+        lease.begin(10.0)
+        assert lease.ended(10.0) is LeaseEnd.UNHEARD
+        lease.unreachable(refused_at)
+        assert lease.ended(refused_at) is ended
+
+
 @pytest.mark.parametrize("loss", Loss)
 def test_a_lost_answer_ends_the_lease_until_a_call_made_after_it_is_answered(loss: Loss) -> None:
     lease = confirmed(9.0)
