Let a refusal renew only a lease that has not run out

That discovery is down now says that what changes is told later; it does not untell what had changed 6 s before it went down.

Change: a refusal renews the lease only within the rule's time of the evidence before it, or of the process's start; else only a whole answer does.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -8,7 +8,8 @@
 
 - `confirm`: a whole answer to a call that was made then. All that the source had before is known.
 - `unreachable`: an end that says that the source told nobody at some moment after that: a refusal. What
-  changes meanwhile counts anew from its return, and what came before was known.
+  changes meanwhile counts anew from its return. It renews a lease that has not run out, as what had changed
+  for longer counted before; a new process has the rule's time from its beginning to be refused.
 
 Silence, a slow answer, a lost one, a connection that does not come up, an error of this machine, and the
 list that a process is started with move nothing: they have no time, or prove nothing.
@@ -72,6 +73,7 @@
     grace_s: float  # after it was told, in which calls to an endpoint that drains may still begin
     notified_after_move_s: float = inf  # after a move of the source
     pushed: bool = False  # what the source has counts as told, asked for or not
+    resumes: bool = False  # a refusal also renews a lease that has run out
 
     @property
     def spare_s(self) -> float:
@@ -105,7 +107,7 @@
 
     def __init__(self, terms: LeaseTerms) -> None:
         self.terms = terms
-        self._evidence_at = -inf
+        self._evidence_at = self._begun_at = -inf
         self._lost: _LostAnswer | None = None
         self._breaking_since: float | None = None  # the first call broke since the newest answer
         self._moved_at: float | None = None  # as long as the new address has not answered
@@ -126,6 +128,10 @@
         """By when further evidence has to come; -inf where there has been none."""
         return self._evidence_at + self.terms.term_s
 
+    def begin(self, now: float) -> None:
+        """The process begins, with a list that has no time."""
+        self._begun_at = max(self._begun_at, now)
+
     # Evidence
 
     def confirm(self, asked_at: float) -> None:
@@ -138,10 +144,14 @@
         """A call that was made then has been refused. After a move a refusal counts only once the time of
         the move is over: until then the source may come back, and owe the whole list by the end of it.
         """
-        if self._moved_at is not None:
-            if asked_at < self._moved_at + self.terms.notified_after_move_s:
-                return
-            self._moved_at = None
+        if self._moved_at is not None and asked_at < self._moved_at + self.terms.notified_after_move_s:
+            return
+        if (
+            asked_at > max(self._evidence_at, self._begun_at) + self.terms.notified_s
+            and not self.terms.resumes
+        ):
+            return
+        self._moved_at = None
         self._evidence_at = max(self._evidence_at, asked_at)
         self._make_good(asked_at, Loss.POSSIBLE)
 
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -119,6 +119,8 @@
         if not self._on:
             self._on = True
             self._next_at = now
+        if self._number == 0:
+            self._lease.begin(now)
 
     def stop(self, now: float) -> None:
         """End all calls and make no more."""
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -94,7 +94,7 @@
             self.subscription, settings.relays.addresses, None, settings.shards.count, self._answered,
             on_failure=self._failed,
         )  # fmt: skip
-        terms = LeaseTerms(NOTIFIED_AFTER_S, drain_grace_s)
+        terms = LeaseTerms(NOTIFIED_AFTER_S, drain_grace_s, resumes=True)
         self._evidence = RelayEvidence(terms, settings.relays.addresses)
         self._lease_log = LeaseLog()
         self.on_renewed: Callable[[], None] = lambda: None  # told that calls may go again
