--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mountgauge.lab.rig.events import Event, read
-from mountgauge.lab.soak.draw import HELD_UP, KILL_S, draw
+from mountgauge.lab.soak.draw import EVERY_CALL, HELD_UP, KILL_S, QUIET_S, draw
 from mountgauge.lab.soak.mutants import MUTANTS
 from mountgauge.lab.soak.plan import FILE, Plan, ProcessFault
 from mountgauge.lab.soak.verdict import verdict
@@ -26,7 +26,8 @@
     kinds = [event.kind for event in events]
     assert kinds.count("taken") > 50 and kinds.count("answer") > 50, "the senders served"
     struck = {event.fields["do"] for event in events if event.kind == "fault"}
-    drawn = {"replace", "link", "term", "kill", "pause", "crowd", "move-discovery", "discovery-down"}
+    drawn = {"replace", "drain", "link", "term", "kill", "pause", "crowd", "move-discovery", "discovery-down",
+             "discovery-hangs"}  # fmt: skip
     assert drawn <= struck, "the faults did strike"
     logged = {event.fields["event"] for event in events if event.kind == "log"}
     assert "invariant-violated" not in logged
@@ -73,6 +74,13 @@
     assert all(fault.kill_s == KILL_S for fault in ends) and any(fault.signals for fault in ends)
     crowds = [seed for seed in range(40) if any(f.do == "crowd" for f in draw(seed, 6, 20.0).schedule.faults)]
     assert 4 < len(crowds) < 24
+    found = [fault for seed in range(40) for fault in draw(seed, 6, 20.0).schedule.faults]
+    hangs = [fault for fault in found if fault.do == "discovery-hangs"]
+    assert {fault.count for fault in hangs} == {1, 2, 4, 8, EVERY_CALL}
+    assert min(fault.for_s for fault in hangs) < 2.0 and max(fault.for_s for fault in hangs) > 18.0
+    assert any(fault.do == "discovery-slow" and fault.for_s > 20.0 for fault in found)
+    silences = [fault for fault in found if "half_open" in fault.conditions]
+    assert silences and all(fault.at + fault.for_s <= 20.0 - QUIET_S + 1e-9 for fault in silences)
     held_up = draw(7, 24, 20.0, HELD_UP)
     assert {one.seam for one in held_up.process_faults} == {"sockets", "files"}
 
