--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -229,6 +229,23 @@
     assert not driven.held_back()
 
 
+def test_an_agent_was_not_watched_behind_a_wait_whose_answer_is_read_late() -> None:
+    """The soak's seed 9017: the answer lay unread for 0.7 s; the call made meanwhile hung."""
+    driven = Driven(subscribe=False)
+    watch = driven.asked()
+    company = driven.asked()
+    assert company.made_at - watch.made_at > watch.wait_s + 0.1
+    driven.now += 0.2
+    driven.watch.answered(watch, 5, driven.now)
+    assert driven.held_back()
+    driven.watch.answered(company, 5, driven.now)
+    assert not driven.held_back(), "it was asked behind the gap"
+    late = driven.asked()
+    driven.now = late.made_at + late.wait_s + 0.2
+    driven.watch.answered(late, 5, driven.now)
+    assert driven.held_back() and driven.asked().short
+
+
 @pytest.mark.parametrize("grace_s", [0.0, 0.1, 0.25, 1.0])
 def test_a_grace_that_is_shorter_than_a_hold_up_is_not_used(grace_s: float) -> None:
     terms = LeaseTerms(NOTIFIED_S, grace_s, MOVED_S)
