Count an agent as watched no longer than the wait that was answered in vain

Change: where lists are pushed, a gap between the end of a wait that was answered in vain and the next call is one without a call, however late the answer is read: only an answer to a call made since lets calls go. Where discovery is asked nothing changes.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -210,6 +210,7 @@
         if call not in self._open:
             return False
         older = self._open[: self._open.index(call)]
+        self._note_coverage(call, version, now)
         self._forget(call, now)
         if call.address != self._address or (self._whole and call.index is not None):
             return True  # the list that is asked for is still to come
@@ -237,6 +238,18 @@
             self._next_at = now + self.bounds.rest_s(self._since_answer.repeats)
         return True
 
+    def _note_coverage(self, call: ListCall, version: int, now: float) -> None:
+        """Where lists are pushed, a call has to be out all the time: one that waited in vain was out up to the
+        end of its wait, however late its answer is read, and the next one from when it was asked.
+        """
+        if not self.bounds.pushed or call.short or version > (call.index or 0):
+            return
+        others = [other for other in self._connected_at if other != call]
+        until = min(now, known_at(call, version, now))
+        begins = min((self._connected_at[other] for other in others), default=now)
+        if begins - until >= self._lease.terms.not_asked_s:
+            self._lease.lose(Loss.POSSIBLE, min((other.made_at for other in others), default=now))
+
     def failed(self, call: ListCall, failure: Failure, now: float) -> None:
         """The call has ended without a list."""
         if call not in self._open:
