--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -239,8 +239,8 @@
         return True
 
     def _note_coverage(self, call: ListCall, version: int, now: float) -> None:
-        """Where lists are pushed, a call has to be out all the time: one that waited in vain was out up to the
-        end of its wait, however late its answer is read, and the next one from when it was asked.
+        """Where lists are pushed, a call has to be out all the time: one that waited in vain was out up to
+        the end of its wait, however late its answer is read, and the next one from when it was asked.
         """
         if not self.bounds.pushed or call.short or version > (call.index or 0):
             return
