--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -246,6 +246,17 @@
     assert driven.held_back() and driven.asked().short
 
 
+def test_an_agent_was_not_watched_behind_news_that_may_have_been_read_late() -> None:
+    """The soak's seeds 9008 and 10025: a list lay unread for 0.5 s, a change was made meanwhile, and the next
+    call hung. When the list was written is not known.
+    """
+    driven = Driven(subscribe=False)
+    watch = driven.asked()
+    driven.now += 0.6
+    driven.watch.answered(watch, 6, driven.now)
+    assert driven.held_back() and driven.asked().short
+
+
 @pytest.mark.parametrize("grace_s", [0.0, 0.1, 0.25, 1.0])
 def test_a_grace_that_is_shorter_than_a_hold_up_is_not_used(grace_s: float) -> None:
     terms = LeaseTerms(NOTIFIED_S, grace_s, MOVED_S)
