--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -98,10 +98,11 @@
             self._clock.call_at(self.state.useful_until(call), lambda: self._end_parked(call))
 
     def _go(self, call: Call) -> None:
+        ended = None
         if self._journal.failing:
             why = Refusal.JOURNAL_FAILING
-        elif self.state.fresh is not None and not self.state.fresh():
-            why = Refusal.LIST_IN_DOUBT
+        elif (ended := self.state.list_ended(call.hop.entry.owner)) is not None:
+            why = Refusal.LIST_LEASE_ENDED
         elif self.call_gate is not None and not self.call_gate.start(call):
             why = Refusal.NO_BUDGET
         else:
@@ -109,7 +110,7 @@
             return
         if not call.parked:  # counted once, however often it is looked at
             call.parked = True
-            self._counts["parked", why] += 1
+            self._counts["parked", why if ended is None else f"{why}.{ended}"] += 1
         self.parked.append(call)
 
     def _end_parked(self, call: Call) -> None:
--- /dev/null
+++ b/mountgauge/core/list_lease.py
@@ -0,0 +1,210 @@
+"""Until when a sender may go by the list of endpoints that it has: a lease that ends by itself.
+
+Pure: no I/O, no clock; times are of the caller's monotonic clock, in seconds. What a source of lists
+(discovery, an agent, a relay, an operators' file) has told, or has had for some time, counts as notified
+whether or not it arrived. So the lease holds up to a time, and only evidence moves that time on (Gray and
+Cheriton, 1989). Evidence counts from the earliest moment at which it can have come about, and its term is
+shorter than the rule's by what a sender may be held up between its look and its write (`LeaseTerms`):
+
+- `confirm`: a whole answer to a call that was made then. All that the source had before is known.
+- `unreachable`: an end that says that the source told nobody at some moment after that: a refusal. What
+  changes meanwhile counts anew from its return, and what came before was known.
+
+Silence, a slow answer, a lost one, a connection that does not come up, an error of this machine, and the
+list that a process is started with move nothing: they have no time, or prove nothing.
+
+An answer that was lost on its way ends the lease at once, as what it told counts already (`Loss`). Only
+evidence from a call made after that brings it back: for a certain loss a whole answer, for a possible one
+also a refusal. A call that breaks again, and was made `BURST_S` or more after the loss, shows a source that
+is down and resets its calls: one fault of the network that strikes the connections of one moment does not
+strike the later ones. Two answers that are lost one after another, that far apart, pass for that.
+
+A source that has moved to another address counts as having told all `moved_s` later, whatever was known of
+the old one; a source that pushes counts as having told all at once, where no call to it is out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum, StrEnum
+from math import inf
+
+# Between the look at the lease and the write of the first byte a process may be held up for so long.
+HOLD_UP_S = 0.15
+# Resets of one moment may strike a call and the one that is made at once after it.
+BURST_S = 0.1
+
+
+class LeaseEnd(StrEnum):
+    """Why the list may not be gone by."""
+
+    UNHEARD = "unheard"  # no evidence since the process began
+    EXPIRED = "expired"  # the newest evidence is too old
+    ANSWER_LOST = "answer-lost"
+    ANSWER_UNREAD = "answer-unread"  # something that the source has written waits to be read
+    MOVED = "moved"  # to an address that has not answered in time
+    NOT_ASKED = "not-asked"  # no call is out at a source whose news count at once
+    PAUSED = "paused"  # the process stood still, and the source has not been looked at since
+
+
+# Why no call to a destination may go by the list now; None: it may.
+LeaseCheck = Callable[[int], LeaseEnd | None]
+
+
+class Loss(IntEnum):
+    """What is known of an answer that was not taken in."""
+
+    POSSIBLE = 1  # it may never have been written
+    CERTAIN = 2  # a part of it had arrived, or it told of a change without naming its endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """The rule's times, from which the lease's are derived, in seconds."""
+
+    notified_s: float  # after which a change that the source had, and could tell, counts as told
+    grace_s: float  # after it was told, in which calls to an endpoint that drains may still begin
+    notified_after_move_s: float = inf  # after a move of the source
+    pushed: bool = False  # what the source has counts as told, asked for or not
+
+    @property
+    def spare_s(self) -> float:
+        """What a holder may use of the grace."""
+        return max(0.0, self.grace_s - HOLD_UP_S)
+
+    @property
+    def term_s(self) -> float:
+        """From evidence to the end of the lease."""
+        return self.notified_s + self.spare_s
+
+    @property
+    def moved_s(self) -> float:
+        """From a move to the end of the lease."""
+        return self.notified_after_move_s + self.spare_s
+
+    @property
+    def not_asked_s(self) -> float:
+        """For which no call may be out."""
+        return self.spare_s if self.pushed else inf
+
+
+@dataclass(frozen=True, slots=True)
+class _LostAnswer:
+    kind: Loss
+    at: float  # the newest
+
+
+class ListLease:
+    """One sender's lease on the list of one source."""
+
+    def __init__(self, terms: LeaseTerms) -> None:
+        self.terms = terms
+        self._evidence_at = -inf
+        self._lost: _LostAnswer | None = None
+        self._moved_at: float | None = None  # as long as the new address has not answered
+        self._no_call_since: float | None = None
+
+    @property
+    def evidence_at(self) -> float:
+        """The moment from which the newest evidence counts; -inf where there is none."""
+        return self._evidence_at
+
+    @property
+    def lacks_answer(self) -> bool:
+        """Whether an answer was lost that no newer one has made good."""
+        return self._lost is not None
+
+    @property
+    def renewed_by(self) -> float:
+        """By when further evidence has to come; -inf where there has been none."""
+        return self._evidence_at + self.terms.term_s
+
+    # Evidence
+
+    def confirm(self, asked_at: float) -> None:
+        """A call that was made then has been answered in full, and the answer was taken in."""
+        self._evidence_at = max(self._evidence_at, asked_at)
+        self._moved_at = None
+        self._make_good(asked_at, Loss.CERTAIN)
+
+    def unreachable(self, asked_at: float) -> None:
+        """A call that was made then has been refused. After a move a refusal counts only once the time of
+        the move is over: until then the source may come back, and owe the whole list by the end of it.
+        """
+        if self._moved_at is not None:
+            if asked_at < self._moved_at + self.terms.notified_after_move_s:
+                return
+            self._moved_at = None
+        self._evidence_at = max(self._evidence_at, asked_at)
+        self._make_good(asked_at, Loss.POSSIBLE)
+
+    # What ends it early
+
+    def lose(self, kind: Loss, now: float) -> None:
+        """An answer has not been taken in."""
+        known = self._lost.kind if self._lost is not None else kind
+        self._lost = _LostAnswer(max(kind, known), now)
+
+    def broke(self, asked_at: float, now: float) -> bool:
+        """A call that was made then has broken with nothing read. Whether an answer is lost now: else this
+        shows that the source is down.
+        """
+        if self._repeats_a_loss(asked_at):
+            self.unreachable(asked_at)
+        else:
+            self.lose(Loss.POSSIBLE, now)
+        return self.lacks_answer
+
+    def moved(self, now: float) -> None:
+        """The source has another address. Of two moves without an answer the first one counts."""
+        if self._moved_at is None:
+            self._moved_at = now
+
+    def asked(self) -> None:
+        """A call is out."""
+        self._no_call_since = None
+
+    def not_asked(self, now: float) -> None:
+        """No call is out any more."""
+        if self._no_call_since is None:
+            self._no_call_since = now
+
+    # Its state
+
+    @property
+    def until(self) -> float:
+        """When it ends, unless evidence comes or something ends it before."""
+        if self._lost is not None:
+            return -inf
+        until = self.renewed_by
+        if self._moved_at is not None:
+            until = min(until, self._moved_at + self.terms.moved_s)
+        if self._no_call_since is not None:
+            until = min(until, self._no_call_since + self.terms.not_asked_s)
+        return until
+
+    def ended(self, now: float) -> LeaseEnd | None:
+        """Why the list may not be gone by now; None: it may."""
+        if now < self.until:
+            return None
+        if self._evidence_at == -inf:
+            return LeaseEnd.UNHEARD
+        if self._lost is not None:
+            return LeaseEnd.ANSWER_LOST
+        if self._moved_at is not None and now >= self._moved_at + self.terms.moved_s:
+            return LeaseEnd.MOVED
+        if now >= self.renewed_by:
+            return LeaseEnd.EXPIRED
+        return LeaseEnd.NOT_ASKED
+
+    # Within
+
+    def _make_good(self, asked_at: float, most: Loss) -> None:
+        if self._lost is not None and self._lost.kind <= most and asked_at >= self._lost.at:
+            self._lost = None
+
+    def _repeats_a_loss(self, asked_at: float) -> bool:
+        if self.terms.pushed or self._lost is None:  # an agent is silent while discovery is down
+            return False
+        return asked_at >= self._lost.at + BURST_S
--- a/mountgauge/core/send_state.py
+++ b/mountgauge/core/send_state.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from mountgauge.core.held import HeldMessages
 from mountgauge.core.hop_table import HopTable
 from mountgauge.core.journal import Journal
+from mountgauge.core.list_lease import LeaseCheck, LeaseEnd
 from mountgauge.core.ports import Call, Item, NextHop
 from mountgauge.core.waits import Waits
 from rillspindle import interface as io
@@ -24,24 +25,28 @@
     ) -> None:
         self.rules = rules
         self.grades: Mapping[str, io.Grade] = {}  # by the classes' names
-        self.fresh: Callable[[], bool] | None = None  # whether what is known is new enough to send by
+        self.list_lease: LeaseCheck | None = None  # of the source of lists; None: they need none
         self.stopped = False  # nothing new is sent
         self._table, self._journal, self._held, self._waits = table, journal, held, waits
 
+    def list_ended(self, dest: int) -> LeaseEnd | None:
+        """Why no call to this destination may go by the list now; None: it may."""
+        return None if self.list_lease is None else self.list_lease(dest)
+
     def limit(self, hop: NextHop) -> object:
         """What shares a limit, and so a told wait: a destination, or an endpoint where routes are apart."""
         return hop.id if self.rules.routes_apart[hop.entry.kind] else hop.entry.owner
 
     def endpoint(self, call: Call) -> EndpointState:
         """The endpoint of a call."""
-        believed = self.fresh is None or self.fresh()  # first: asking may bring news of the next hop
+        valid = self.list_ended(call.hop.entry.owner) is None  # first: asking may bring news of the next hop
         hop = self._table.hops.get(call.hop.id)
         place = (call.hop.host, call.hop.port, call.hop.entry.owner)
         if hop is None or (hop.host, hop.port, hop.entry.owner) != place:
-            return EndpointState(False, list_believed=believed, stopped=self.stopped)
+            return EndpointState(False, list_valid=valid, stopped=self.stopped)
         wait_until = self._waits.get(self.limit(call.hop), -math.inf)
         listed = hop.entry.readiness == Readiness.READY
-        return EndpointState(listed, hop.entry.zone, wait_until, believed, self.stopped)
+        return EndpointState(listed, hop.entry.zone, wait_until, valid, self.stopped)
 
     def message(self, item: Item) -> MessageState:
         """A message of a call; one that is not held any more has ended."""
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -15,6 +15,7 @@
 from mountgauge.core.held import Held, HeldMessages
 from mountgauge.core.hop_table import HopTable
 from mountgauge.core.journal import Journal, Stored
+from mountgauge.core.list_lease import LeaseCheck
 from mountgauge.core.ports import (
     Call,
     CallGate,
@@ -128,13 +129,13 @@
         self.attempts.next_hops = next_hops
 
     @property
-    def fresh(self) -> Callable[[], bool] | None:
-        """Whether what is known is new enough to send by."""
-        return self.attempts.state.fresh
+    def list_lease(self) -> LeaseCheck | None:
+        """Why no call to a destination may go by the list; None: all may."""
+        return self.attempts.state.list_lease
 
-    @fresh.setter
-    def fresh(self, fresh: Callable[[], bool] | None) -> None:
-        self.attempts.state.fresh = fresh
+    @list_lease.setter
+    def list_lease(self, check: LeaseCheck | None) -> None:
+        self.attempts.state.list_lease = check
 
     @property
     def call_gate(self) -> CallGate | None:
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -17,7 +17,9 @@
 
 from mountgauge.connecting import connect
 from mountgauge.core.config import Address, MapUpdate, Names
+from mountgauge.core.list_lease import LeaseEnd
 from mountgauge.http1 import Connection, Message, State, request
+from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.call_log import CallEvent, CallLog
 from mountgauge.platform.watch import DiscoveryWatch, DroppedCall, DropReason, Failure, ListCall
@@ -46,8 +48,6 @@
         self._discovery, self.call, self._address = discovery, call, address
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
-        # When a look has first found its answer coming, or its request unsent.
-        self._coming_since = self._unsent_since = math.inf
 
     def begin(self, kept: Connection | None) -> None:
         """Ask on the kept connection, or dial."""
@@ -111,16 +111,6 @@
             return False
         return self._connection.answer_begun or not self._connection.silent
 
-    def holds_calls_back(self, bounds: WatchBounds, now: float) -> bool:
-        """Whether calls wait for this exchange: it is one answer's, so its time begins once."""
-        if self.is_coming:
-            self._coming_since = min(self._coming_since, now)
-            return now - self._coming_since < bounds.certain_doubt_s
-        if self.lies_unsent:
-            self._unsent_since = min(self._unsent_since, now)
-            return now - self._unsent_since < bounds.doubt_s
-        return False
-
     @property
     def answer_arrived(self) -> bool:
         """Whether bytes of the answer have arrived."""
@@ -151,6 +141,7 @@
         self._kept: Connection | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._calls = CallLog(self._now)
+        self._lease = LeaseLog()
 
     # What the core and the runtime ask for
 
@@ -159,13 +150,9 @@
         if on:
             self._watch.start(self._now())
         else:
-            self._watch.stop()
+            self._watch.stop(self._now())
         self._step()
 
-    def begin_pushed(self) -> None:
-        """A new process, to which an agent pushes lists, has heard nothing of it yet."""
-        self._watch.begin_pushed(self._now())
-
     def snapshot(self) -> None:
         """Ask for the whole list now: a watch that is out may wait long for news."""
         self._watch.ask_whole(self._now())
@@ -196,30 +183,33 @@
 
     @property
     def counts(self) -> Counter[tuple[str, str]]:
-        """What has become of the calls so far."""
-        return self._calls.counts
+        """What has become of the calls so far, and what ended the lease on the list."""
+        return self._calls.counts + self._lease.counts
 
     def state(self) -> Mapping[str, Any]:
         """For the state line: how old the list is, and the calls that are out."""
         now = self._now()
         age_s, out = self._watch.list_age_s(now), self._watch.open_calls
         return {
+            "list_lease": self.lease_ended() or "valid",
             "list_age_s": "never" if math.isinf(age_s) else round(age_s, 3),
             "list_calls_out": len(out),
             "list_call_oldest_s": round(now - out[0].made_at, 3) if out else 0.0,
         }
 
-    @property
-    def unread(self) -> bool:
-        """Whether discovery has written news, or may have, that has not been read; it counts as notified.
-
-        Bounded, as the list's doubt is: by `certain_doubt_s` where bytes of an answer have arrived, by
-        `doubt_s` where a call lies unsent.
-        """
-        now, bounds = self._now(), self._watch.bounds
-        if self._watch.in_doubt(now):
-            return True
-        return any(exchange.holds_calls_back(bounds, now) for exchange in self._exchanges.values())
+    def lease_ended(self) -> LeaseEnd | None:
+        """Why nothing may be sent by the list now; None: it may."""
+        now = self._now()
+        ended = self._watch.lease_ended(now) or self._exchanges_end_it()
+        self._lease.note(ended, self._watch.list_age_s(now))
+        return ended
+
+    def _exchanges_end_it(self) -> LeaseEnd | None:
+        if any(exchange.is_coming for exchange in self._exchanges.values()):
+            return LeaseEnd.ANSWER_UNREAD
+        if any(exchange.lies_unsent for exchange in self._exchanges.values()):
+            return LeaseEnd.NOT_ASKED
+        return None
 
     # What the exchanges tell
 
@@ -283,11 +273,8 @@
     def _fail(self, call: ListCall, failure: Failure, why: str) -> None:
         self._calls.failed(call, failure, why)
         self._watch.failed(call, failure, self._now())
-        doubted = self._watch.in_doubt(self._now())
-        failures = self._watch.failures
-        log.warning(
-            "watch-failed", extra=kv(kind=failure.value, error=why, failures=failures, doubted=doubted)
-        )
+        failures, lease = self._watch.failures, self._watch.lease_ended(self._now()) or "valid"
+        log.warning("watch-failed", extra=kv(kind=failure.value, error=why, failures=failures, lease=lease))
         self._step()
 
     def _step(self) -> None:
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -25,14 +25,16 @@
 from math import inf
 from random import Random
 
-from mountgauge.platform.list_lease import ListLease, Loss
+from mountgauge.core.list_lease import LeaseEnd, ListLease, Loss
 from mountgauge.platform.watch_bounds import (
     ANSWER_MARGIN_S,
     AT_ONCE_S,
     JITTER,
     MOVE_PAUSE_S,
     NOTIFIED_AFTER_MOVE_S,
+    REFUSAL_TRANSIT_S,
     SHORT_WAIT_S,
+    WAIT_ROUNDING_S,
     WatchBounds,
 )
 
@@ -47,7 +49,8 @@
     SPOILT = "spoilt"  # bytes of an answer had arrived, and it broke off or could not be read
 
 
-_LOSS = {Failure.BROKEN: Loss.POSSIBLE, Failure.SPOILT: Loss.CERTAIN}
+# Ends by which discovery, or what stands in its place, says that this call was told nothing.
+_REFUSALS = (Failure.REFUSED, Failure.BUSY)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +109,7 @@
     unreachable_since: float | None = None  # the first connection was begun that has not come up
     lost: bool = False  # a call has failed or fallen silent: the next ones are short
     watch_silent: bool = False  # a watch was asked and not answered in time
-    asked_again: bool = False  # an answer that may have been written was asked for anew at once
+    losses: int = 0  # answers that may have been lost, one after another
     repeats: int = 0  # watches answered at once with nothing newer
 
 
@@ -125,11 +128,8 @@
         self._address = 0
         self._moved_at = -inf
         self._whole = False  # the next call asks for the whole list
-        self._lease = ListLease(
-            bounds.doubt_s, bounds.certain_doubt_s, bounds.dial_life_s, bounds.broken_row_s
-        )
+        self._lease = ListLease(bounds.lease)
         self._since_answer = _Progress(lost=True)  # the first call is short: nothing is known yet
-        self._answered_call_at = -inf  # when the newest call was made that was answered
 
     @property
     def on(self) -> bool:
@@ -152,16 +152,12 @@
         return tuple(self._open)
 
     def list_age_s(self, now: float) -> float:
-        """How long ago the newest call was made that was answered; infinite where none was."""
-        return now - self._answered_call_at
-
-    def in_doubt(self, now: float) -> bool:
-        """Whether news may be lost that counts as notified, so that nothing may be sent by the list."""
-        return self._lease.in_doubt(now)
+        """How old the newest evidence for the list is; infinite where there is none."""
+        return now - self._lease.evidence_at
 
-    def begin_pushed(self, now: float) -> None:
-        """A new process, to which an agent pushes lists, has heard nothing of it yet."""
-        self._lease.begin(now)
+    def lease_ended(self, now: float) -> LeaseEnd | None:
+        """Why nothing may be sent by the list now; None: it may."""
+        return self._lease.ended(now)
 
     def start(self, now: float) -> None:
         """Watch from now on; nothing changes where it does already."""
@@ -169,16 +165,16 @@
             self._on = True
             self._next_at = now
 
-    def stop(self) -> None:
+    def stop(self, now: float) -> None:
         """End all calls and make no more."""
         self._on = False
         self._next_at = inf
-        self._drop(self._open, DropReason.STOPPED)
+        self._drop(self._open, DropReason.STOPPED, now)
 
     def retune(self, bounds: WatchBounds, now: float) -> None:
         """Heed new settings; a watch that waits longer than they allow gets company when theirs is over."""
         self.bounds = bounds
-        self._lease.retune(bounds.doubt_s, bounds.certain_doubt_s)
+        self._lease.terms = bounds.lease
         if self._open and not self._open[-1].short:
             self._next_at = min(self._next_at, now + bounds.wait_s + ANSWER_MARGIN_S)
 
@@ -186,6 +182,7 @@
         """Discovery has another address: ask there for the whole list, and keep asking until it has come."""
         self._address += 1
         self._moved_at = now
+        self._lease.moved(now)
         self.ask_whole(now)
 
     def ask_whole(self, now: float) -> None:
@@ -201,8 +198,8 @@
     def poll(self, now: float, version: int) -> Step:
         """The calls to make and to close now; `version` is the newest that is known, negative for none."""
         overdue = [call for call in self._open if now >= self._listened_to_until(call)]
-        self._drop([call for call in overdue if call in self._connected_at], DropReason.NO_ANSWER)
-        self._drop([call for call in overdue if call in self._open], DropReason.NO_CONNECTION)
+        self._drop([call for call in overdue if call in self._connected_at], DropReason.NO_ANSWER, now)
+        self._drop([call for call in overdue if call in self._open], DropReason.NO_CONNECTION, now)
         make = []
         if self._on and now >= self._next_at:
             self._note_lateness()
@@ -217,10 +214,10 @@
         state = self._since_answer
         state.unreachable_since = None
         if self._is_needless(call, now):
-            self._forget(call)
+            self._forget(call, now)
             return False
         self._connected_at[call] = now
-        self._lease.asked(now)
+        self._lease.asked()
         if not call.short:
             self._next_at = now + call.wait_s + ANSWER_MARGIN_S
         else:
@@ -243,22 +240,21 @@
         if call not in self._open:
             return False
         older = self._open[: self._open.index(call)]
-        self._forget(call)
+        self._forget(call, now)
         if call.address != self._address or (self._whole and call.index is not None):
             return True  # the list that is asked for is still to come
-        self._lease.answered(call.made_at)
-        self._answered_call_at = max(self._answered_call_at, call.made_at)
-        self._drop(older, DropReason.NEWER_ANSWERED)
+        self._lease.confirm(_known_at(call, version, now))
+        self._drop(older, DropReason.NEWER_ANSWERED, now)
         before, self._since_answer = self._since_answer, _Progress()
         self._whole = False
         if call.short:
             self._since_answer.repeats = before.repeats
         if incomplete:
             self._whole = self._since_answer.lost = True
-            self._lease.lost(Loss.CERTAIN, call.made_at, now)
+            self._lease.lose(Loss.CERTAIN, now)
         if self._lease.lacks_answer:  # the call that answers it is not to wait for a change
             self._since_answer.lost = True
-        self._drop([one for one in self._open if one not in self._connected_at], DropReason.NEEDLESS)
+        self._drop([one for one in self._open if one not in self._connected_at], DropReason.NEEDLESS, now)
         if self._open and not incomplete:
             return True  # a newer call is out, and will be answered
         self._next_at = now
@@ -275,38 +271,43 @@
         """The call has ended without a list."""
         if call not in self._open:
             return
-        loss = _LOSS.get(failure)
-        if loss is not None:
-            self._lease.lost(loss, call.made_at, now)
-        elif failure in (Failure.REFUSED, Failure.BUSY):
-            self._lease.turned_away(call.made_at)
-        state = self._since_answer
+        lost = self._note_end(call, failure, now)
         if failure is Failure.UNREACHED:
-            if self.bounds.pushed:  # what the agent has counts as told, whether or not it can be asked
-                self._lease.lost(Loss.POSSIBLE, call.made_at, now)
             self._unreached(call, now)
             return
+        state = self._since_answer
         hung = state.unreachable_since is not None and call.address == self._address
         reachable_again = hung and call not in self._connected_at
-        self._forget(call)
+        self._forget(call, now)
         if self._is_replaced(call) and not reachable_again:
             return
         state.lost = True
         state.failures += 1
+        state.losses = state.losses + 1 if lost else 0
         state.unreachable_since = None
         if reachable_again:
             self._retry(call, now)  # connections hung, and now one is refused: the cut is over
-        elif loss is not None and not state.asked_again:
-            state.asked_again = True  # what it told counts as notified already
-            self._retry(call, now)
+        elif lost and state.losses == 1:
+            self._retry(call, now)  # what it told counts as notified already
         elif now - self._moved_at < NOTIFIED_AFTER_MOVE_S and self._whole:
             self._retry(call, now + MOVE_PAUSE_S)
-        elif loss is not None and self.in_doubt(now):
-            self._retry(call, now + self.bounds.doubt_retry_s(state.failures, self._rng.random()))
+        elif lost:
+            self._retry(call, now + self.bounds.lost_retry_s(state.losses, self._rng.random()))
         else:
             busy = failure is Failure.BUSY
             self._retry(call, now + self.bounds.back_off_s(state.failures, self._rng.random(), busy))
 
+    def _note_end(self, call: ListCall, failure: Failure, now: float) -> bool:
+        """What the failure says of the list; whether an answer may have been lost with it."""
+        if failure is Failure.SPOILT:
+            self._lease.lose(Loss.CERTAIN, now)
+            return True
+        if failure is Failure.BROKEN:
+            return self._lease.broke(call.made_at, now)
+        if failure in _REFUSALS and call.address == self._address:
+            self._lease.unreachable(_refused_at(call, failure, now))
+        return False
+
     def _is_replaced(self, call: ListCall) -> bool:
         """Whether another call, made for want of this one's answer, is still out. One that was closed as
         needless or has failed replaces nothing.
@@ -322,7 +323,7 @@
         """A dial failed for a reason of this machine or the way: like one that hangs it costs discovery
         nothing, so the next is begun as soon.
         """
-        self._forget(call)
+        self._forget(call, now)
         if self._is_replaced(call):
             return
         state = self._since_answer
@@ -336,23 +337,31 @@
     def distrust(self, now: float) -> None:
         """What has been answered could not be taken in, or not all of it: ask for the whole list."""
         self._whole = True
-        self._lease.lost(Loss.CERTAIN, now, now)
+        self._lease.lose(Loss.CERTAIN, now)
         state = self._since_answer
         state.lost = True
         state.failures += 1
-        self._next_at = now + self.bounds.doubt_retry_s(state.failures, self._rng.random())
+        state.losses += 1
+        self._next_at = now + self.bounds.lost_retry_s(state.losses, self._rng.random())
 
     def _make(self, now: float, version: int) -> ListCall:
         state = self._since_answer
         self._number += 1
         index = None if self._whole or version < 0 else version
-        wait = SHORT_WAIT_S if state.lost or index is None else self.bounds.wait_s
+        wait = SHORT_WAIT_S if state.lost or index is None else self._watch_wait_s(now)
         call = ListCall(self._number, self._address, index, wait, now)
         self._open.append(call)
         since = now if state.unreachable_since is None else state.unreachable_since
         self._next_at = now + self.bounds.probe_s(now - since)
         return call
 
+    def _watch_wait_s(self, now: float) -> float:
+        """So long that the answer, or a call in the place of a lost one, still renews the lease: a watch that
+        was answered with news at its end has renewed it from its beginning alone.
+        """
+        left_s = self._lease.renewed_by - now - self.bounds.renewal_s
+        return max(SHORT_WAIT_S, min(self.bounds.wait_s, left_s))
+
     def _note_lateness(self) -> None:
         """The newest call has not been answered, or its connection has not come up, in time."""
         if not self._open:
@@ -381,11 +390,31 @@
         wait = 0.0 if call.short else call.wait_s + ANSWER_MARGIN_S
         return call.made_at + wait + self.bounds.call_life_s
 
-    def _forget(self, call: ListCall) -> None:
+    def _forget(self, call: ListCall, now: float) -> None:
         self._open.remove(call)
-        self._connected_at.pop(call, None)
+        if self._connected_at.pop(call, None) is not None and not self._connected_at:
+            self._lease.not_asked(now)
 
-    def _drop(self, calls: list[ListCall], reason: DropReason) -> None:
+    def _drop(self, calls: list[ListCall], reason: DropReason, now: float) -> None:
         self._dropped += [DroppedCall(call, reason) for call in calls]
         for call in list(calls):
-            self._forget(call)
+            self._forget(call, now)
+
+
+def _refused_at(call: ListCall, failure: Failure, now: float) -> float:
+    """From when on a refusal counts: one in words was written at its end, and was then on its way for
+    `REFUSAL_TRANSIT_S` at most; one of a connection at any time since it was begun.
+    """
+    if failure is not Failure.BUSY:
+        return call.made_at
+    return max(call.made_at, now - REFUSAL_TRANSIT_S)
+
+
+def _known_at(call: ListCall, version: int, now: float) -> float:
+    """Up to when all that discovery had is known by the answer to this call: a watch that is answered with
+    nothing newer once its wait is over was answered no sooner than that.
+    """
+    waited = now - call.made_at >= call.wait_s - WAIT_ROUNDING_S
+    if call.index is None or version > call.index or not waited:
+        return call.made_at
+    return min(now, call.made_at + call.wait_s)
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -26,15 +26,15 @@
   after `probe_s` x (1 to 1 + `JITTER`).
 - Discovery moves: calls at 0 s, `first_limit_s`, and so on, with `MOVE_PAUSE_S` after a refused one; each is
   listened to for `call_life_s`, so that a slow one still counts.
-- An answer was lost on its way (`list_lease`): nothing is sent by the list until another one has come, for
-  `doubt_s` at most, the time in which a connection may come up, 2.0 s, or, where calls break one after the
-  other for `broken_row_s`, 0.3 s, up to the end of the next one: longer costs service where discovery is down
-  and says so by resets alone; an agent that pushes lists is silent then, and is doubted for
-  `known_within_s`. Where a part of the answer had arrived, something was told for certain:
-  then for `certain_doubt_s`, after which a sender may count as told of it anyway, 6.0 s.
-  Meanwhile discovery is asked again at once, then after `doubt_retry_s`, 0.15 s in a small fleet and 1.2 s in
-  a large one, which doubles up to four times that and `limit_most_s`: a fleet of eight asked 48 times a
-  second with a pause that did not; up to `limit_most_s` alone, one of 24 heard 2.1 s late that it could.
+- The lease on the list (`core/list_lease`) ends `known_within_s` and what is left of a drain's grace after
+  the call that the newest evidence came with: 6.0 + 0.25 - 0.15 = 6.1 s. So a watch waits `WAIT_SHARE` of
+  `known_within_s`, 4 s: both of the page's sentences on silence, 6 s after it and 2 s after the wait, then
+  give the same moment, and a third of the time is left for the calls that take a lost one's place.
+- An answer was lost on its way: nothing is sent by the list until another one has come. Discovery is asked
+  again at once, then after `lost_retry_s`, which is `BURST_S` at least, so that a second call that breaks is
+  not struck by the same fault, and 0.15 s in a small fleet and 1.2 s in a large one; it doubles up to four
+  times that and `limit_most_s`: a fleet of eight asked 48 times a second with a pause that did not; up to
+  `limit_most_s` alone, one of 24 heard 2.1 s late that it could.
 
 `askWithin` bounds them as well: a sender whose call has failed is held to what was listed four times as long
 ago, so small values of it scale all of these figures down.
@@ -44,6 +44,7 @@
 
 from dataclasses import dataclass
 
+from mountgauge.core.list_lease import BURST_S, LeaseTerms
 from rillspindle.interface import Settings
 
 NOTIFIED_AFTER_S = 6.0  # after discovery had a change and could be reached
@@ -54,6 +55,9 @@
 
 ANSWER_MARGIN_S = 0.5  # past its wait after which a watch without an answer is taken to be silent
 MOST_WAIT_S = 60.0  # that discovery lets a call wait
+WAIT_SHARE = 2 / 3  # of the notified time, that a watch waits at most
+REFUSAL_TRANSIT_S = 1.0  # that an answer which turns a call away may be on its way, at most
+WAIT_ROUNDING_S = 0.01  # by which a wait may seem shorter to the one who waits than to discovery
 PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
 SHORT_WAIT_S = 0.001  # of a call that is to be answered at once, with changes or without
 
@@ -66,16 +70,14 @@
 
 PROBE_S = 0.15  # between two connections that are begun while none comes up, in a small fleet
 PROBE_PER_SENDER_S = 0.01  # the same for each sender: they all come back at one time
-# A discovery that is down breaks each call. With the call that follows, such a row holds calls back for 1 s
-# at most in a small fleet; for 2.0 s and more it cost too much service (0.883 where 0.9 is asked).
-BROKEN_ROW_S = 0.3
-MOST_DOUBT_RETRY = 4  # of it: the longest pause between two calls while an answer is lost
+MOST_LOST_RETRY = 4  # times the probe: the longest pause between two calls while an answer is lost
 PROBE_DECAY = 1 / 40  # of the time for which none has come up: a long cut is probed less often
 DIAL_LIFE_S = 2.0  # for which a connection may take to come up
 
 # The most of the notified time that a call waits alone in a large fleet: a crowded discovery answers late,
 # and a second call would only crowd it further.
 CROWDED_LIMIT_SHARE = 0.37
+BUSY_SPREAD_SHARE = 0.75  # the same after a call that was turned away: the next one comes within the lease
 SPREAD_SHARE = 0.4  # the most of it over which calls are spread after one that could not be made
 
 AT_ONCE_S = 0.05  # a watch that is answered sooner did not wait for changes
@@ -105,11 +107,7 @@
     spread_s: float  # at random on top of it, so that many senders find a place in discovery's time
     busy_spread_s: float  # the same after a call that discovery has turned away: it has too many
     rest_most_s: float
-    # For which an answer that was lost keeps calls from going by the list, at most: one that may not have
-    # been written, and one of which a part had arrived.
-    doubt_s: float
-    certain_doubt_s: float
-    broken_row_s: float  # of calls that break one after another, each of which may have lost an answer
+    lease: LeaseTerms  # on the list
 
     @classmethod
     def of(cls, rules: Settings) -> WatchBounds:
@@ -122,7 +120,9 @@
         others = DISCOVERY_CALL_S * (sharing - 1)
         return cls(
             pushed=not rules.subscribe,
-            wait_s=min(MOST_WAIT_S, rules.ask_within) if rules.subscribe else PUSHED_WAIT_S,
+            wait_s=min(MOST_WAIT_S, rules.ask_within, WAIT_SHARE * known_within)
+            if rules.subscribe
+            else PUSHED_WAIT_S,
             known_within_s=known_within,
             first_limit_s=min(crowd_limit, max(min(LEAST_LIMIT_S, limit_most), crowded)),
             limit_most_s=max(limit_most, min(crowd_limit, crowded)),
@@ -132,17 +132,22 @@
             least_probe_s=min(limit_most, max(PROBE_S, PROBE_PER_SENDER_S * sharing)),
             back_off_most_s=known_within / 6,
             spread_s=min(others, SPREAD_SHARE * known_within),
-            busy_spread_s=min(others, rules.ask_within),
+            busy_spread_s=min(others, rules.ask_within, BUSY_SPREAD_SHARE * known_within),
             rest_most_s=(
                 max(FIRST_REST_S, min(MOST_REST_S, rules.ask_within / 2))
                 if rules.subscribe
                 else PUSHED_REST_S
             ),
-            doubt_s=min(DIAL_LIFE_S, known_within) if rules.subscribe else known_within,
-            certain_doubt_s=known_within,
-            broken_row_s=min(BROKEN_ROW_S, known_within) if rules.subscribe else known_within,
+            lease=LeaseTerms(
+                known_within, rules.drain_grace, NOTIFIED_AFTER_MOVE_S, pushed=not rules.subscribe
+            ),
         )
 
+    @property
+    def renewal_s(self) -> float:
+        """Before the end of the lease, in which a watch without an answer is found out and followed."""
+        return ANSWER_MARGIN_S + self.silent_limit_s
+
     @property
     def most_open_calls(self) -> int:
         """How many calls that are to be answered at once are listened to at once, at most.
@@ -170,16 +175,16 @@
         base = min(FIRST_BACK_OFF_S * 2.0 ** (failures - 1), self.back_off_most_s)
         return base * (1 + JITTER * draw) + (self.busy_spread_s if busy else self.spread_s) * draw
 
-    def doubt_retry_s(self, failures: int, draw: float) -> float:
-        """The pause between two calls while an answer is lost, after so many failures in a row: each of them
-        has cost discovery something. `draw` is a random number of 0 to 1.
+    def lost_retry_s(self, losses: int, draw: float) -> float:
+        """The pause between two calls while an answer is lost, after so many that were lost in a row: each of
+        them has cost discovery something. `draw` is a random number of 0 to 1.
         """
         base = min(
-            self.least_probe_s * 2.0 ** max(0, failures - 2),
-            MOST_DOUBT_RETRY * self.least_probe_s,
+            self.least_probe_s * 2.0 ** max(0, losses - 2),
+            MOST_LOST_RETRY * self.least_probe_s,
             self.limit_most_s,
         )
-        return base * (1 + JITTER * draw)
+        return max(BURST_S, base) * (1 + JITTER * draw)
 
     def rest_s(self, repeats: int) -> float:
         """The rest after so many watches in a row that were answered at once with nothing newer."""
--- a/mountgauge/relay/follower.py
+++ b/mountgauge/relay/follower.py
@@ -19,6 +19,7 @@
 from mountgauge.http1 import Client, request
 from mountgauge.log import kv
 from mountgauge.relay import wire
+from mountgauge.sharding.evidence import RelayFailure
 from mountgauge.sharding.messages import Refusal, Reply
 from mountgauge.sharding.upstream import Call, RelayCall, Update
 
@@ -58,14 +59,15 @@
         shard_count: int,
         on_answer: Callable[[Call, Update], None],
         on_turn: Callable[[float], None] = lambda now: None,
+        on_failure: Callable[[Call, RelayFailure], None] = lambda call, failure: None,
     ) -> None:
-        """`on_answer` hears of each answer that came, refusals aside; `on_turn` runs in each turn, after the
-        calls.
+        """`on_answer` hears of each answer that came, refusals aside, and `on_failure` of each call that has
+        ended without one; `on_turn` runs in each turn, after the calls.
         """
         self.counts: Counter[str] = Counter()  # calls, failures, received_bytes, sent_bytes
         self._followed, self._relays, self._discovery = followed, relays, discovery
         self._shard_count = shard_count
-        self._on_answer, self._on_turn = on_answer, on_turn
+        self._on_answer, self._on_turn, self._on_failure = on_answer, on_turn, on_failure
         self._loop = asyncio.get_running_loop()
         self._clients: dict[str, tuple[Address, Client]] = {}  # by lane
         self._tasks: set[asyncio.Task[None]] = set()
@@ -127,6 +129,7 @@
             ValueError,
         ) as error:  # TimeoutError is an OSError, UnreadableMessageError a ValueError
             self._failure(place, error)
+            self._on_failure(call, _failure_of(error))
             self._followed.failed(call, self._loop.time(), isinstance(error, TimeoutError))
         else:
             self._logged.pop(place, None)
@@ -138,11 +141,14 @@
             update = self._followed.answered(call, reply, self._loop.time())
         except Exception:  # a fault costs this answer: the lane must not stand still for it
             log.exception("answer-failed", extra=kv(call=call))
+            self._on_failure(call, RelayFailure.UNREADABLE)
             self._followed.failed(call, self._loop.time())
             return
         for one in update.rejections:
             log.warning("rejected", extra=kv(source=one.source, reason=one.reason))
-        if not isinstance(reply, Refusal):
+        if isinstance(reply, Refusal):
+            self._on_failure(call, RelayFailure.REFUSED)
+        else:
             self._on_answer(call, update)
 
     async def _exchange(self, call: Call) -> Reply | object:
@@ -184,5 +190,13 @@
             log.warning("call-failed", extra=kv(place=place, error=f"{type(error).__name__}: {text}"))
 
 
+def _failure_of(error: Exception) -> RelayFailure:
+    if isinstance(error, TimeoutError):
+        return RelayFailure.SILENT
+    if isinstance(error, ConnectionRefusedError):
+        return RelayFailure.REFUSED
+    return RelayFailure.BROKEN if isinstance(error, OSError) else RelayFailure.UNREADABLE
+
+
 def _host(client: Client) -> str:
     return f"{client.host}:{client.port}"
--- a/mountgauge/relay/shard_map.py
+++ b/mountgauge/relay/shard_map.py
@@ -10,19 +10,24 @@
 import asyncio
 import logging
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from mountgauge.core.config import Address, ConfigError, MapUpdate
 from mountgauge.core.durable_time import Clocks, SystemClocks, age, read
+from mountgauge.core.list_lease import LeaseEnd, LeaseTerms
 from mountgauge.core.ports import NextHop
+from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.discovery import MapOwner
+from mountgauge.platform.watch_bounds import NOTIFIED_AFTER_S
 from mountgauge.relay.follower import Follower
 from mountgauge.relay.kept_list import KeptList, KeptListError, KeptListFile
 from mountgauge.relay.settings import SenderSharding
+from mountgauge.sharding.evidence import RelayEvidence, RelayFailure
 from mountgauge.sharding.messages import PlacementNews
 from mountgauge.sharding.picker import Picker
 from mountgauge.sharding.shards import NOTHING, EndpointRecord, EndpointState, shard_of
@@ -33,6 +38,7 @@
 
 log = logging.getLogger("mountgauge.sharding")
 
+DRAIN_GRACE_S = 0.25  # of the rules, where nothing else is said
 _KEEP_AFTER_S = 0.5  # from a change to its being written: what comes together is written once
 _READINESS = {EndpointState.ACTIVE: Readiness.READY, EndpointState.LEAVING: Readiness.DRAINING}
 
@@ -75,6 +81,7 @@
         folder: Path,
         seed: int | None = None,
         clocks: Clocks | None = None,
+        drain_grace_s: float = DRAIN_GRACE_S,
     ) -> None:
         self._owner, self._settings = owner, settings
         self._clocks = clocks or SystemClocks()
@@ -84,8 +91,13 @@
         picker = Picker(settings.relays.names, settings.zone, settings.timing, rng)
         self.subscription = Subscription(name, self.store, picker, settings.timing, rng)
         self.follower = Follower(
-            self.subscription, settings.relays.addresses, None, settings.shards.count, self._answered
-        )
+            self.subscription, settings.relays.addresses, None, settings.shards.count, self._answered,
+            on_failure=self._failed,
+        )  # fmt: skip
+        terms = LeaseTerms(NOTIFIED_AFTER_S, drain_grace_s)
+        self._evidence = RelayEvidence(terms, settings.relays.addresses)
+        self._lease_log = LeaseLog()
+        self.on_renewed: Callable[[], None] = lambda: None  # told that calls may go again
         self.rejections = 0
         self.last_rejection = ""
         self._messages: dict[int, int] = {}  # by shard: messages that the core holds
@@ -165,9 +177,39 @@
                 hops.append(gone_hop(record))
         return tuple(hops)
 
+    # The lease on the list
+
+    @property
+    def counts(self) -> Counter[tuple[str, str]]:
+        """What ended the lease on the list."""
+        return self._lease_log.counts
+
+    def lease_ended(self, dest: int) -> LeaseEnd | None:
+        """Why no call may go by the list now; None: all may."""
+        now = self._loop.time()
+        ended = self._evidence.ended(now)
+        self._lease_log.note(ended, now - self._evidence.lease.evidence_at)
+        return ended
+
+    def _failed(self, call: Call, failure: RelayFailure) -> None:
+        if isinstance(call, RelayCall):
+            self._evidence.failed(call, failure, self._loop.time())
+            self._look_again()
+
+    def _look_again(self) -> None:
+        held_back = self._lease_log.ended is not None
+        if held_back and self.lease_ended(NOTHING) is None:
+            self.on_renewed()
+
     # From the subscription
 
     def _answered(self, call: Call, update: Update) -> None:
+        self._take_in(call, update)
+        if isinstance(call, RelayCall) and not update.rejections:
+            self._evidence.answered(call)
+            self._look_again()
+
+    def _take_in(self, call: Call, update: Update) -> None:
         if update.rejections:
             self.rejections += len(update.rejections)
             self.last_rejection = f"{update.rejections[-1].source}: {update.rejections[-1].reason}"
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -66,6 +67,10 @@
 class Source(MapSource, Protocol):
     """A source of the transport map that can be told to look, and closed."""
 
+    @property
+    def counts(self) -> Counter[tuple[str, str]]:
+        """What has become of its calls, and what ended the lease on the list."""
+
     def look_now(self) -> bool:
         """Look at the list anew; whether that is done, or its answer is still to come."""
 
@@ -141,7 +146,7 @@
 
     def snapshot(self) -> Snapshot:
         sender = self.sender
-        counts = sender.counts.copy()
+        counts = sender.counts + self.map.counts
         for listener, _ in self.listeners:
             if isinstance(listener, Front):
                 counts.update(listener.counts)
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -12,6 +12,7 @@
 from mountgauge.connections.registry import Registry
 from mountgauge.connections.settings import platform_settings
 from mountgauge.core.config import Config, ConfigError
+from mountgauge.core.list_lease import LeaseEnd
 from mountgauge.log import kv
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
@@ -19,11 +20,12 @@
 from mountgauge.platform.watch_bounds import WatchBounds
 from mountgauge.router import Router
 from mountgauge.run.base import Runtime, socket_shares
-from mountgauge.snapshot import Snapshot
 
 log = logging.getLogger("mountgauge.run")
 
-RECHECK_S = 0.005  # between two looks whether calls that wait for news may go
+# Between two looks whether calls that wait may go: for evidence, and for an answer that is being read.
+RECHECK_S, READ_RECHECK_S = 0.02, 0.005
+_ENDS_SOON = (LeaseEnd.ANSWER_UNREAD, LeaseEnd.NOT_ASKED)
 _FIXED = ("listen", "state", "limits")  # what a running process can't change
 
 
@@ -39,7 +41,7 @@
         random = Random(config.seed)
         self.discovery = TransportMap(self.sender, config.discovery, names, WatchBounds.of(rules), random)
         self._recheck: asyncio.TimerHandle | None = None
-        self.sender.fresh = self._fresh
+        self.sender.list_lease = self._lease_ended
         self.map = self.discovery
         self.registry = Registry(platform_settings(clients))
         deadlines = [grade.deadline for grade in rules.grades]
@@ -51,26 +53,16 @@
         self.add_console(self.front)
         self.connect()
 
-    async def start(self) -> None:
-        if not self.sender.rules.subscribe:
-            self.discovery.begin_pushed()
-        await super().start()
-
-    def snapshot(self) -> Snapshot:
-        found = super().snapshot()
-        found.counts.update(self.discovery.counts)
-        return found
-
     def state(self) -> Mapping[str, Any]:
         return {**super().state(), **self.discovery.state()}
 
-    def _fresh(self) -> bool:
-        """Whether all that discovery has written has been read; else calls are tried again soon."""
-        if not self.discovery.unread:
-            return True
-        if self._recheck is None:
-            self._recheck = asyncio.get_running_loop().call_later(RECHECK_S, self._release)
-        return False
+    def _lease_ended(self, dest: int) -> LeaseEnd | None:
+        """Why no call may go by the list; calls that wait are tried again soon."""
+        ended = self.discovery.lease_ended()
+        if ended is not None and self._recheck is None:
+            pause_s = READ_RECHECK_S if ended in _ENDS_SOON else RECHECK_S
+            self._recheck = asyncio.get_running_loop().call_later(pause_s, self._release)
+        return ended
 
     def _release(self) -> None:
         self._recheck = None
--- a/mountgauge/run/recovery.py
+++ b/mountgauge/run/recovery.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mountgauge.core.durable_time import Stamp, read
+from mountgauge.core.list_lease import LeaseCheck, LeaseEnd
 from mountgauge.log import kv
 from mountgauge.recovery import bounds
 from mountgauge.recovery import identity as who
@@ -56,6 +57,7 @@
         self._emptied = 0
         self._timer: asyncio.TimerHandle | None = None
         self._phase_said = ""
+        self._source_lease: LeaseCheck | None = None  # of the source of lists alone
 
     # Start
 
@@ -67,8 +69,8 @@
         except OSError as error:  # it is tried again at each look
             log.error("folder-not-read", extra=kv(error=error))
             self._failed = True
-        believed = runtime.sender.fresh  # by the source of the list
-        runtime.sender.fresh = lambda: (believed is None or believed()) and self.fresh()
+        self._source_lease = runtime.sender.list_lease
+        runtime.sender.list_lease = self.list_ended
         runtime.sender.on_list = self._list_came
         self._timer = asyncio.get_running_loop().call_later(bounds.PULSE_S, self._look)
 
@@ -112,6 +114,13 @@
 
     # Before each first byte
 
+    def list_ended(self, dest: int) -> LeaseEnd | None:
+        """Why no call to this destination may go by the list now: of its source, or of a pause."""
+        ended = None if self._source_lease is None else self._source_lease(dest)
+        if ended is not None:
+            return ended
+        return None if self.fresh() else LeaseEnd.PAUSED
+
     def fresh(self) -> bool:
         """The core asks in the last step before a call's first byte. Not where a pause is found just now,
         even if all is looked at here: what the core has seen of the call's endpoint is from before the look.
--- a/rillspindle/send_guard.py
+++ b/rillspindle/send_guard.py
@@ -25,7 +25,7 @@
     """Why something is not allowed."""
 
     STOPPED = "stopped"  # the process is ending
-    LIST_IN_DOUBT = "list-in-doubt"  # discovery may have written news that has not been read
+    LIST_LEASE_ENDED = "list-lease-ended"  # nothing shows any more that the list is the newest
     ENDPOINT_LEFT = "endpoint-left"  # draining, gone, or another one's address by now
     TOLD_TO_WAIT = "told-to-wait"
     CALL_OVER = "call-over"  # nobody waits for the call's answer any more
@@ -58,7 +58,7 @@
     listed: bool  # as ready, at the address and for the destination of the call
     zone: int = 0
     wait_until: float = -math.inf  # a told wait of its route
-    list_believed: bool = True
+    list_valid: bool = True
     stopped: bool = False
 
 
@@ -132,8 +132,8 @@
 def _endpoint_refusal(endpoint: EndpointState, begun: bool, now: float) -> Refusal | None:
     if not begun and endpoint.stopped:
         return Refusal.STOPPED
-    if not begun and not endpoint.list_believed:
-        return Refusal.LIST_IN_DOUBT
+    if not begun and not endpoint.list_valid:
+        return Refusal.LIST_LEASE_ENDED
     if not begun and not endpoint.listed:
         return Refusal.ENDPOINT_LEFT
     if endpoint.wait_until > now:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any
 
+import orjson
+
 from mountgauge.amqp import codec
 from mountgauge.http1 import Message, Parser, response
 from mountgauge.operator_file import load
@@ -113,6 +115,16 @@
         raise NotImplementedError
 
 
+async def no_news(message: Message) -> bytes:
+    """What a discovery answers to a call for changes where there are none, once the call's wait is over."""
+    assert message.start is not None
+    _, _, query = message.start[1].partition("?")
+    asked = dict(pair.split("=") for pair in query.split("&"))
+    await asyncio.sleep(int(asked["wait"]) / 1000)
+    found = {"version": int(asked["index"]), "full": False, "servers": []}
+    return response(200, "OK", {}, orjson.dumps(found))
+
+
 class HttpServer(Server):
     """Answers each request by `reply`; None breaks the connection."""
 
