Reproduce a 503 that renews the lease on the list, as a test that fails

Cause: an answer of 503 counts as if discovery had been down, which only a discovery that runs can say; lists that had changed for 6 s were gone by for as long as 503s came in between silent calls.

--- /dev/null
+++ b/tests/crossings/test_refused_discovery.py
@@ -0,0 +1,81 @@
+"""A 503 tells of a discovery that runs: alone it says nothing of the list, and renews nothing.
+
+Whole processes against a scripted discovery, many worlds at once. Asserted is the page's earliest moment, 6 s
+after discovery had the change and could be reached, with the grace of a drain; where lists are pushed, the
+same after the call fell silent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+
+from tests.crossings.test_notified import GRACE_S, NOTIFIED_S, World
+from tests.helper import run, until
+
+WATCHED_S = 6.0  # past the due time, in which calls to the one that left are looked for
+SILENT, REFUSE, ANSWER = "silent", "refuse", "answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """What becomes of a sender's calls to discovery while an endpoint leaves."""
+
+    name: str
+    senders: int
+    script: tuple[str, ...]  # the fate of each call, one after another; further ones are answered
+    mode: str = "subscribe"
+    new: bool = True  # the endpoint leaves as the process starts, else with the first refused call
+
+
+REFUSED_THEN_SILENT = (*(REFUSE,) * 4, *(SILENT,) * 8)
+IN_TURN = (SILENT, REFUSE) * 6
+SCENES = [
+    *(
+        scene
+        for senders in (12, 200)
+        for scene in (
+            Scene("a new process, four refused, then silent", senders, REFUSED_THEN_SILENT),
+            Scene("a new process, silent and refused in turn", senders, IN_TURN),
+            Scene("one answer, refused and silent in turn", senders, (ANSWER, REFUSE, *IN_TURN), new=False),
+        )
+    ),
+    Scene("an agent, refused and silent in turn", 3, (ANSWER, REFUSE, *IN_TURN), "automatic", new=False),
+    Scene("an agent, refused and silent in turn", 12, (ANSWER, REFUSE, *IN_TURN), "automatic", new=False),
+    Scene("an agent, a new process, four refused, then silent", 12, REFUSED_THEN_SILENT, "automatic"),
+]
+
+
+async def late_calls(scene: Scene, folder: Path) -> list[str]:
+    """A line for a scene in which calls went to the endpoint that had left, or in which service ended."""
+    folder.mkdir()
+    world = World(folder, list(scene.script), scene.mode, 10.0, scene.senders)
+    found = []
+    try:
+        await world.begin()
+        if not scene.new:
+            await until(lambda: len(world.list.calls) >= 2, 10)
+        world.list.leaves(1)
+        left_at = world.now()
+        due = left_at + NOTIFIED_S + GRACE_S
+        await asyncio.sleep(due + WATCHED_S - world.now())
+        late = [round(at - due, 2) for at in world.taken["leaver"] if at > due]
+        if late:
+            found.append(f"{scene.name}, {scene.senders} senders: {len(late)} calls, up to {late[-1]} s late")
+        world.list.script.clear()
+        resumed_after = world.now()
+        await until(lambda: world.taken["stays"] and world.taken["stays"][-1] > resumed_after, 15)
+    finally:
+        await world.end()
+    return found
+
+
+def test_a_list_is_not_believed_for_refusals_in_words(tmp_path: Path) -> None:
+    async def main() -> None:
+        scenes = [late_calls(scene, tmp_path / str(place)) for place, scene in enumerate(SCENES)]
+        found = await asyncio.gather(*scenes)
+        late = [line for lines in found for line in lines]
+        assert not late, "\n".join(late)
+
+    run(main(), 60)
