Count a gap at an agent from when its answer had surely not been written

Cause: the gap without a call at the agent was counted from the moment at which its list was read; a list that lay unread had been written earlier, and a change made since then counts as told at once while the next call hangs. Read was taken for written.

Change: the gap begins at the newest moment at which the answer was surely unwritten: when its call was made, the end of a wait in vain, or the newest look that found the socket empty (the agent is on the same machine). A longer gap is a loss, and only an answer to a call made after it lets calls go. Of calls that are out only newer ones close a gap. Compared: two overlapping watches leave the same gap, as one change answers both; a short call behind every list costs a wait of one call at each change, for ever with an agent that is 1 s slow.

Test changed: in ..._behind_a_wait_whose_answer_is_read_late the company's answer is said to have been read as it came, which the test left open; the case that it was not is a test of its own.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -196,10 +196,9 @@
         if since is not None and now - since >= self.terms.not_asked_s:
             self.lose(Loss.POSSIBLE, made_at)
 
-    def not_asked(self, now: float) -> None:
-        """No call is out any more."""
-        if self._no_call_since is None:
-            self._no_call_since = now
+    def not_asked(self, since: float) -> None:
+        """No call is out any more, perhaps since that moment: of two the earlier one counts."""
+        self._no_call_since = since if self._no_call_since is None else min(since, self._no_call_since)
 
     # Its state
 
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -125,7 +125,7 @@
         return self._watch.cut_off(self._now())
 
     def _exchanges_end_it(self) -> LeaseEnd | None:
-        if any(exchange.is_coming for exchange in self._exchanges.values()):
+        if any([exchange.is_coming for exchange in self._exchanges.values()]):
             return LeaseEnd.ANSWER_UNREAD
         if any(exchange.lies_unsent for exchange in self._exchanges.values()):
             return LeaseEnd.NOT_ASKED
@@ -166,7 +166,10 @@
             return
         self._calls.answered(exchange.call, update.version)
         self._show_answer(exchange.call, update)
-        if self._watch.answered(exchange.call, update.version, self._now(), update.incomplete):
+        taken = self._watch.answered(
+            exchange.call, update.version, self._now(), update.incomplete, exchange.unwritten_at
+        )
+        if taken:
             self._take_in(update)
         self._step()
 
--- a/mountgauge/platform/list_exchange.py
+++ b/mountgauge/platform/list_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import Protocol
 
 from mountgauge.connecting import connect
@@ -45,6 +46,7 @@
         self._owner, self.call, self._address = owner, call, address
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
+        self.unwritten_at = -inf  # the newest look that found nothing to read, on the loop's clock, in s
 
     def begin(self, kept: Connection | None) -> None:
         """Ask on the kept connection, or dial."""
@@ -117,7 +119,11 @@
         """Whether something that discovery has written waits to be read, or a part of it has been."""
         if self._connection is None:
             return False
-        return self._connection.answer_begun or not self._connection.silent
+        looked_at = asyncio.get_running_loop().time()
+        coming = self._connection.answer_begun or not self._connection.silent
+        if not coming:
+            self.unwritten_at = looked_at
+        return coming
 
     @property
     def answer_arrived(self) -> bool:
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -202,15 +202,23 @@
         """When to poll next, if nothing happens before."""
         return min([self._next_at, *map(self._listened_to_until, self._open)])
 
-    def answered(self, call: ListCall, version: int, now: float, incomplete: bool = False) -> bool:
+    def answered(
+        self,
+        call: ListCall,
+        version: int,
+        now: float,
+        incomplete: bool = False,
+        unwritten_at: float = -inf,
+    ) -> bool:
         """A list of this version has come; whether it is to be taken in.
 
-        `incomplete`: it tells of a change without saying of which next hop.
+        `incomplete`: it tells of a change without saying of which next hop. `unwritten_at`: when nothing of
+        it had arrived yet, as far as is known.
         """
         if call not in self._open:
             return False
         older = self._open[: self._open.index(call)]
-        self._note_coverage(call, version, now)
+        self._note_coverage(call, max(unwritten_at, known_at(call, version, now)), now)
         self._forget(call, now)
         if call.address != self._address or (self._whole and call.index is not None):
             return True  # the list that is asked for is still to come
@@ -238,17 +246,19 @@
             self._next_at = now + self.bounds.rest_s(self._since_answer.repeats)
         return True
 
-    def _note_coverage(self, call: ListCall, version: int, now: float) -> None:
-        """Where lists are pushed, a call has to be out all the time: one that waited in vain was out up to
-        the end of its wait, however late its answer is read, and the next one from when it was asked.
+    def _note_coverage(self, call: ListCall, written_after: float, now: float) -> None:
+        """Where lists are pushed, a call has to be out all the time. This one was answered at an unknown
+        moment after `written_after`, however late it is read, and the next one is out from when it was asked.
         """
-        if not self.bounds.pushed or call.short or version > (call.index or 0):
+        if not self.bounds.pushed:
             return
-        others = [other for other in self._connected_at if other != call]
-        until = min(now, known_at(call, version, now))
-        begins = min((self._connected_at[other] for other in others), default=now)
-        if begins - until >= self._lease.terms.not_asked_s:
-            self._lease.lose(Loss.POSSIBLE, min((other.made_at for other in others), default=now))
+        uncovered_since = min(now, written_after)
+        newer = [other for other in self._connected_at if other.number > call.number]
+        if not newer:
+            self._lease.not_asked(uncovered_since)
+        covered_from = min((self._connected_at[other] for other in newer), default=now)
+        if covered_from - uncovered_since >= self._lease.terms.not_asked_s:
+            self._lease.lose(Loss.POSSIBLE, min((other.made_at for other in newer), default=now))
 
     def failed(self, call: ListCall, failure: Failure, now: float) -> None:
         """The call has ended without a list."""
--- a/tests/crossings/test_list_lease.py
+++ b/tests/crossings/test_list_lease.py
@@ -7,6 +7,7 @@
 import asyncio
 import errno
 import os
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -177,10 +178,7 @@
     """No answer was lost, so calls went on by the last list."""
 
     async def main(faults: Faults, loop: FaultyLoop) -> None:
-        env = settings(discovery="automatic")
-        env["obligations"] |= {"drainGrace": GRACE_S}
-        pushed = WatchBounds.of(Settings.from_mapping(env))
-        async with watching(faults, bounds_of_watch=pushed) as world:
+        async with watching(faults, bounds_of_watch=agent_bounds()) as world:
             faults.always("connect", errno.ENETUNREACH)
             asked = f"GET {world.discovery.paths[0]} HTTP/1.1"
             world.discovery.standing[0].write(closing(no_changes(asked)))
@@ -221,6 +219,13 @@
     run_faulty(main)
 
 
+def agent_bounds() -> WatchBounds:
+    """The bounds of a sender to which lists are pushed."""
+    env = settings(discovery="automatic")
+    env["obligations"] |= {"drainGrace": GRACE_S}
+    return WatchBounds.of(Settings.from_mapping(env))
+
+
 def loop_reaches(when: float) -> Callable[[], bool]:
     """Whether this time has come."""
     return lambda: asyncio.get_running_loop().time() >= when
@@ -379,3 +384,40 @@
             await until(lambda: not world.held_back())
 
     run_faulty(main)
+
+
+def test_a_list_of_an_agent_that_lay_unread_may_hide_a_change_that_no_call_was_out_for() -> None:
+    """The process stood still while the agent wrote twice over: the second change counts as told at once."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with watching(faults, bounds_of_watch=agent_bounds()) as world:
+            discovery = world.discovery
+            await until(lambda: not world.held_back())
+            discovery.standing[0].write(listing(6, False))
+            time.sleep(2 * GRACE_S)  # the loop's, and with it the process's
+            discovery.holds_short = True  # the call behind the list hangs
+            await until(lambda: world.owner.updates)
+            assert await world.looks_until(loop_reaches(loop.time() + 2 * FAULT_S)) == []
+            assert world.held_back()
+            discovery.holds_short = False
+            await until(lambda: not world.held_back())
+
+    run_faulty(main)
+
+
+def test_a_list_of_an_agent_that_is_read_as_it_comes_holds_nothing_back() -> None:
+    """Each look finds whether one has come: between two of them the agent can't have written it."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with watching(faults, bounds_of_watch=agent_bounds()) as world:
+            discovery = world.discovery
+            await until(lambda: not world.held_back())
+            asked_at_once = discovery.short_calls
+            await world.looks_until(loop_reaches(loop.time() + FAULT_S))
+            discovery.standing[0].write(listing(6, False))
+            await until(lambda: world.owner.updates)
+            assert not world.held_back()
+            await discovery.called(2)
+            assert discovery.short_calls == asked_at_once
+
+    run_faulty(main)
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -296,6 +296,7 @@
         self.sent = Sent()
         self._exchanges: dict[ListCall, Exchange] = {}
         self._woken_at = float("inf")
+        self._looked_at = -float("inf")
 
     def start(self) -> None:
         self.watch.start(self._time.now())
@@ -325,7 +326,9 @@
         if update is None:
             self.failed(exchange, Failure.SPOILT)
         elif self._exchanges.pop(exchange.call, None) is not None:
-            if self.watch.answered(exchange.call, update.version, self._time.now()):
+            if self.watch.answered(
+                exchange.call, update.version, self._time.now(), unwritten_at=self._looked_at
+            ):
                 self.table.learn(update, update.full, self._time.now())
                 self.version = update.version
             self.step()
@@ -348,6 +351,7 @@
 
     def try_all(self) -> None:
         """Choose a call for each endpoint that is ready as far as is known."""
+        self._looked_at = self._time.now()  # no answer waits to be read: each is read as it arrives
         for hop in self.table.hops.values():
             if hop.entry.readiness == Readiness.READY:
                 later = self._time.now() + self._schedule.connect_s
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -238,7 +238,7 @@
     driven.now += 0.2
     driven.watch.answered(watch, 5, driven.now)
     assert driven.held_back()
-    driven.watch.answered(company, 5, driven.now)
+    driven.watch.answered(company, 5, driven.now, unwritten_at=driven.now)
     assert not driven.held_back(), "it was asked behind the gap"
     late = driven.asked()
     driven.now = late.made_at + late.wait_s + 0.2
@@ -257,6 +257,16 @@
     assert driven.held_back() and driven.asked().short
 
 
+def test_an_agents_answer_to_a_short_call_may_have_been_read_late_as_well() -> None:
+    """Up to the newest look that found nothing to read, it had not been written."""
+    for looked_s, held in ((0.0, True), (0.45, False)):
+        driven = Driven(subscribe=False, heard=False)
+        call = driven.asked()
+        driven.now += 0.5
+        driven.watch.answered(call, 5, driven.now, unwritten_at=call.made_at + looked_s)
+        assert driven.held_back() is held
+
+
 @pytest.mark.parametrize("grace_s", [0.0, 0.1, 0.25, 1.0])
 def test_a_grace_that_is_shorter_than_a_hold_up_is_not_used(grace_s: float) -> None:
     terms = LeaseTerms(NOTIFIED_S, grace_s, MOVED_S)
