Close the connections that have ended before the next one is accepted

Cause: up to 8 connections are accepted in a turn, and those in whose place they come keep their descriptors up to the next turn: 35 allowed + 16 that linger + 8 = 59. The bound held only once the loop had got round to closing.

Change: before each accept the registry gives back what has ended, so one more than allowed is open at any moment: 35 + 16 + 1 = 52.

--- a/mountgauge/connections/acceptor.py
+++ b/mountgauge/connections/acceptor.py
@@ -85,6 +85,7 @@
         for _ in range(AT_ONCE):
             if self._sock is None:
                 return
+            self._registry.make_room()  # the one before may have taken the place of another
             try:
                 sock = self._registry.system_calls.accept(self._sock)
             except (BlockingIOError, InterruptedError):
--- a/mountgauge/connections/registry.py
+++ b/mountgauge/connections/registry.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import gc
+import itertools
 import os
 import select
 import socket
@@ -199,19 +200,19 @@
                     transport.on_event(mask)
         for connection in self.scheduler.round(BATCH):
             connection.more()
-        for transport in list(self._ended)[:BATCH] if len(self._ended) <= BATCH else self._some_ended():
-            del self._ended[transport]
-            transport.done()
+        self._close_ended(BATCH)
         if self.scheduler or self._ended:
             self._soon()
 
-    def _some_ended(self) -> list[ConnectionTransport]:
-        found = []
-        for transport in self._ended:
-            found.append(transport)
-            if len(found) == BATCH:
-                break
-        return found
+    def make_room(self) -> None:
+        """Give back the descriptors of all connections that have ended, called by the loop itself."""
+        while self._ended:
+            self._close_ended(BATCH)
+
+    def _close_ended(self, most: int) -> None:
+        for transport in list(itertools.islice(self._ended, most)):
+            del self._ended[transport]
+            transport.done()
 
     # Deadlines
 
--- a/tests/connections/test_hard.py
+++ b/tests/connections/test_hard.py
@@ -27,7 +27,9 @@
 from mountgauge.amqp.connection import AmqpConnection
 from mountgauge.clients import ClientConnection, Clients
 from mountgauge.connections import descriptors
+from mountgauge.connections.acceptor import AT_ONCE
 from mountgauge.connections.connection import ConnectionTransport
+from mountgauge.connections.front import LINGERING
 from mountgauge.connections.metrics import ConnectionMetrics, client_metrics
 from mountgauge.connections.registry import BATCH, Registry
 from mountgauge.connections.scheduler import QUANTUM
@@ -519,6 +521,30 @@
     run(main(), 30)
 
 
+def test_accepts_of_one_turn_take_no_descriptors_that_are_kept_for_others() -> None:
+    """Those in whose place they came had ended, and kept theirs up to the next turn: 59 open, 52 allowed."""
+
+    async def main() -> None:
+        most = 35
+        async with holding(most + LINGERING, platform_settings(most)) as held:
+            assert held.registry.open == most + LINGERING
+            adopt, seen = held.registry.adopt, list[int]()
+
+            def counting(*args: Any) -> ConnectionTransport:
+                transport = adopt(*args)
+                seen.append(held.registry.open)
+                return transport
+
+            held.registry.adopt = counting  # type: ignore[assignment]
+            crowd = [socket.create_connection((HOST, held.front.port)) for _ in range(3 * AT_ONCE)]
+            await until(lambda: len(seen) == len(crowd))
+            assert max(seen) <= most + LINGERING + 1, "one comes, and another one goes"
+            for sock in crowd:
+                sock.close()
+
+    run(main())
+
+
 def test_check_says_what_to_raise(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
