Let a 503 renew the lease only in an outage that a watch has shown, and never at an agent

Cause: a 503 counted as if nobody could be told anything; but it is an answer of something that runs, and may only have too many calls. At an agent, which is silent while discovery is down, no refusal shows an outage.

Change: a 503 renews once discovery has ended a watch that it had taken on (5/8 of the longest wait over, 2.5 s) and refused each call since; a call that hangs, fails here or is answered ends that. The run-time check tells so by its own records. Two tests said that a 503 ends a doubt, or at 2.0 s of a watch renews; they now ask for the stricter reading, with cases beside them. The property draws crowds, 503 in turn with silence and outages that answer 503; a mutant whose 503 renews is found by it.

--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -24,7 +24,7 @@
 from mountgauge.platform.list_exchange import ListExchange
 from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
-from rillspindle.list_evidence import AnsweredCall, ListEvidence
+from rillspindle.list_evidence import AnsweredCall, ListEvidence, RefusedCall
 
 log = logging.getLogger("mountgauge.platform.discovery")
 
@@ -194,10 +194,17 @@
     def _show_end(self, call: ListCall, failure: Failure) -> None:
         if self._evidence is None or call.address != self._watch.address:
             return
-        if failure is Failure.SPOILT:
-            self._evidence.answer_lost(self._now())
-        elif failure is not Failure.UNREACHED:
-            self._evidence.told_nothing(self._now())
+        now = self._now()
+        match failure:
+            case Failure.SPOILT:
+                self._evidence.answer_lost(now)
+            case Failure.REFUSED:
+                self._evidence.dial_refused(now)
+            case Failure.UNREACHED:
+                self._evidence.unanswered()
+            case Failure.BUSY | Failure.BROKEN:
+                in_words = failure is Failure.BUSY
+                self._evidence.refused(RefusedCall(call.made_at, call.wait_s, now, in_words))
 
     @staticmethod
     def _now() -> float:
@@ -232,6 +239,8 @@
         step = self._watch.poll(now, self._owner.version)
         for dropped in step.drop:
             self._close(dropped, now)
+        if step.make and self._exchanges and self._evidence is not None:
+            self._evidence.unanswered()
         for call in step.make:
             exchange = self._exchanges[call] = ListExchange(self, call, self._address)
             kept = self._take_kept()
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -41,12 +41,10 @@
     MOVE_PAUSE_S,
     NOTIFIED_AFTER_MOVE_S,
     SHORT_WAIT_S,
+    WAIT_ROUNDING_S,
     WatchBounds,
 )
 
-# Ends by which discovery, or what stands in its place, says that this call was told nothing.
-_REFUSALS = (Failure.REFUSED, Failure.BUSY)
-
 
 @dataclass(slots=True)
 class _Progress:
@@ -59,6 +57,7 @@
     watch_silent: bool = False  # a watch was asked and not answered in time
     losses: int = 0  # answers that may have been lost, one after another
     repeats: int = 0  # watches answered at once with nothing newer
+    down: bool = False  # discovery has ended a watch that it had taken on, and refused each call since
 
 
 class DiscoveryWatch:
@@ -295,13 +294,31 @@
         if failure is Failure.SPOILT:
             self._lease.lose(Loss.CERTAIN, now)
             return True
+        if self._was_taken_on(call, now):
+            self._since_answer.down = True
         if failure is Failure.BROKEN:
             alone = not self._connected_at.keys() - {call}
             return self._lease.broke(call.made_at, now, alone)
-        if failure in _REFUSALS and call.address == self._address:
+        if call.address == self._address and self._shows_an_outage(failure):
             self._lease.unreachable(refused_at(call, failure, now))
         return False
 
+    def _was_taken_on(self, call: ListCall, now: float) -> bool:
+        """Whether the call was a watch that discovery let wait, and has now ended: it ends watches as it goes
+        down, while one that has too many calls turns new ones away and leaves open watches alone.
+        """
+        if call.short or call not in self._connected_at or self._since_answer.lost:
+            return False
+        return self.bounds.taken_after_s <= now - call.made_at < call.wait_s - WAIT_ROUNDING_S
+
+    def _shows_an_outage(self, failure: Failure) -> bool:
+        """Whether this end says that nobody could be told anything: a refused connection, or a refusal in
+        words in an outage. An agent is silent while discovery is down, whatever becomes of its connections.
+        """
+        if self.bounds.pushed:
+            return False
+        return failure is Failure.REFUSED or (failure is Failure.BUSY and self._since_answer.down)
+
     def _is_replaced(self, call: ListCall) -> bool:
         """Whether another call, made for want of this one's answer, is still out. One that was closed as
         needless or has failed replaces nothing.
@@ -319,6 +336,7 @@
         """
         self._forget(call, now)
         self._lease.hung()
+        self._since_answer.down = False
         if self._is_replaced(call):
             return
         state = self._since_answer
@@ -363,7 +381,7 @@
             return
         self._lease.hung()
         state, newest = self._since_answer, self._open[-1]
-        state.lost = True
+        state.lost, state.down = True, False
         if newest in self._connected_at:
             state.watch_silent = state.watch_silent or not newest.short
         elif state.unreachable_since is None:
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -18,6 +18,8 @@
 - Discovery is there and turns calls away, as it has too many: it could not be reached, and asking sooner than
   it works off only makes it turn more away. Then calls are spread over `busy_spread_s`, which with three
   senders is 0.4 s and may pass 6 s with more than 30.
+- Discovery is down, and says so: it ends a watch that it has taken on (`taken_after_s` of its wait is over),
+  and refuses all calls behind it. A 503 alone does not tell that from a crowded discovery: it renews nothing.
 - The way to discovery is cut, and comes back: a connection that does not come up costs discovery nothing, so
   another one is begun after `probe_s`: 0.15 s in a small fleet, so that a change which counts as notified
   when the cut ends is read within the grace; more with many senders, or once it has lasted for long. Each is
@@ -56,6 +58,8 @@
 ANSWER_MARGIN_S = 0.5  # past its wait after which a watch without an answer is taken to be silent
 MOST_WAIT_S = 60.0  # that discovery lets a call wait
 WAIT_SHARE = 2 / 3  # of the notified time, that a watch waits at most
+# Of a watch's wait, after which discovery has surely taken it on: a crowded one turns a call away sooner.
+TAKEN_SHARE = 5 / 8
 REFUSAL_TRANSIT_S = 1.0  # that an answer which turns a call away may be on its way, at most
 WAIT_ROUNDING_S = 0.01  # by which a wait may seem shorter to the one who waits than to discovery
 PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
@@ -96,6 +100,7 @@
 
     pushed: bool  # an agent on this machine pushes lists: what it has counts as told, asked for or not
     wait_s: float  # that a watch asks discovery to wait for changes
+    taken_after_s: float  # of its wait, behind which discovery has taken a watch on
     known_within_s: float  # after discovery can be reached, in which a change must have been read
     first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
     limit_most_s: float
@@ -117,12 +122,14 @@
         crowd_limit = CROWDED_LIMIT_SHARE * known_within
         sharing = rules.balancers if rules.subscribe else 1  # each machine has an agent of its own
         crowded = LIMIT_PER_SENDER_S * sharing
+        wait = PUSHED_WAIT_S
+        if rules.subscribe:
+            wait = min(MOST_WAIT_S, rules.ask_within, WAIT_SHARE * known_within)
         others = DISCOVERY_CALL_S * (sharing - 1)
         return cls(
             pushed=not rules.subscribe,
-            wait_s=min(MOST_WAIT_S, rules.ask_within, WAIT_SHARE * known_within)
-            if rules.subscribe
-            else PUSHED_WAIT_S,
+            wait_s=wait,
+            taken_after_s=TAKEN_SHARE * wait,
             known_within_s=known_within,
             first_limit_s=min(crowd_limit, max(min(LEAST_LIMIT_S, limit_most), crowded)),
             limit_most_s=max(limit_most, min(crowd_limit, crowded)),
--- a/rillspindle/list_evidence.py
+++ b/rillspindle/list_evidence.py
@@ -17,6 +17,7 @@
 FAILED_FACTOR = 4  # times `askWithin`
 SLACK_S = 0.05  # by which every time limit is longer on sockets
 ROUNDING_S = 0.01  # by which a wait may seem shorter to the one who waits
+TAKEN_SHARE = 5 / 8  # of its wait, after which a watch is not one that a crowded discovery turns away
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,22 @@
         return self.made_at + self.wait_s if waited and not self.newer else self.made_at
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedCall:
+    """A call for the list that discovery has ended with a refusal in words or a reset."""
+
+    made_at: float
+    wait_s: float
+    ended_at: float
+    in_words: bool
+
+    @property
+    def was_taken_on(self) -> bool:
+        """Whether it was a watch that discovery let wait: it ends watches as it goes down."""
+        lasted_s = self.ended_at - self.made_at
+        return TAKEN_SHARE * self.wait_s <= lasted_s < self.wait_s - ROUNDING_S
+
+
 class ListEvidence:
     """What the calls of one sender have shown."""
 
@@ -42,6 +59,7 @@
         self._settings = settings
         self._newest = -math.inf
         self._lost_at = math.inf
+        self._down = False  # a watch was ended, and each call since refused
 
     def retune(self, settings: Settings) -> None:
         """Other settings from now on."""
@@ -50,12 +68,26 @@
     def answered(self, call: AnsweredCall) -> None:
         """A call has been answered."""
         self._newest = max(self._newest, call.known_at)
+        self._down = False
         if call.made_at >= self._lost_at:
             self._lost_at = math.inf
 
-    def told_nothing(self, at: float) -> None:
-        """An end of a call that says that discovery could not be reached then."""
-        self._newest = max(self._newest, at)
+    def dial_refused(self, at: float) -> None:
+        """Discovery could not be reached then; an agent can't be down."""
+        if self._settings.subscribe:
+            self._newest = max(self._newest, at)
+
+    def refused(self, call: RefusedCall) -> None:
+        """Discovery has ended a call. That it could not be reached is shown by a watch that was ended, and
+        by each refusal behind it; a 503 alone may come from one that has too many calls.
+        """
+        self._down = self._down or call.was_taken_on
+        if self._settings.subscribe and (self._down or not call.in_words):
+            self._newest = max(self._newest, call.ended_at)
+
+    def unanswered(self) -> None:
+        """A call has not been answered in time: discovery, if it was down, may be back."""
+        self._down = False
 
     def answer_lost(self, at: float) -> None:
         """A part of an answer had arrived, and nothing of it was taken in."""
--- a/tests/platform/mutants.py
+++ b/tests/platform/mutants.py
@@ -54,6 +54,13 @@
         return None if ended in (LeaseEnd.EXPIRED, LeaseEnd.UNHEARD, LeaseEnd.MOVED) else ended
 
 
+class RefusalInWordsRenews(DiscoveryWatch):
+    """Each 503 passes for a discovery that is down."""
+
+    def _shows_an_outage(self, failure: Failure) -> bool:
+        return failure in (Failure.REFUSED, Failure.BUSY)
+
+
 class GivenUpForTheNext(DiscoveryWatch):
     """A call that has got no answer in time is closed when the next one is made."""
 
@@ -101,6 +108,7 @@
 
 MUTANTS = {
     "silence is believed": Parts(watch=SilenceBelieved),
+    "a refusal in words renews": Parts(watch=RefusalInWordsRenews),
     "back-off and spread doubled": Parts(bounds=DoubledBackOff),
     "long poll after a silence": Parts(watch=LongPollAfterSilence),
     "an answer dropped": Parts(table=AnswerDropped),
--- a/tests/platform/reference.py
+++ b/tests/platform/reference.py
@@ -6,9 +6,10 @@
 earlier moment; a later one stays where the pages say so, or where no sender that serves could keep the
 earlier one:
 
-- "Could be reached" holds at a moment if a call made then would not be refused. The 6 s run anew after an
-  outage that refuses, as the pages say of `askWithin` ("counted anew when discovery is back"); a discovery
-  that is silent or slow can be reached.
+- "Could be reached" holds but while discovery is down. The 6 s run anew after such an outage, as the pages
+  say of `askWithin` ("counted anew when discovery is back"); a discovery that is silent, slow or crowded can
+  be reached, whatever becomes of this sender's calls. So can an agent always: "while discovery is down the
+  agent is silent", and does not refuse.
 - What a watch misses counts 6 s after it fell silent, whether or not its wait is over by then.
 - A spoilt answer counts as written. The answer after a spoilt one is whole.
 - After a move the 4 s hold for all changes up to the new address's first answer, unless it refuses as they
@@ -49,14 +50,18 @@
 class Trouble(Enum):
     """What discovery does during an outage."""
 
-    REFUSING = "refusing"  # open calls are reset, new ones refused
+    REFUSING = "refusing"  # down: open calls end, new connections are refused
+    DOWN = "down"  # down: open calls and new ones are answered 503
+    CROWDED = "crowded"  # new calls are answered 503, open watches go on
+    CROWDED_OR_SILENT = "crowded-or-silent"  # every second new call is answered 503, the others never
     SILENT = "silent"  # open calls and new ones are never answered, also after it
     HOLDING = "holding"  # all calls are answered at its end
     SLOW = "slow"  # each answer takes `delay_s`
     HASTY = "hasty"  # watches are answered at once, with nothing newer
 
 
-_BLOCKING = (Trouble.REFUSING, Trouble.SILENT, Trouble.HOLDING)
+_IS_DOWN = (Trouble.REFUSING, Trouble.DOWN)
+_BLOCKING = (*_IS_DOWN, Trouble.CROWDED, Trouble.CROWDED_OR_SILENT, Trouble.SILENT, Trouble.HOLDING)
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,7 +238,14 @@
                 at = moved_at + AFTER_MOVE_S
         if self._lost(at) or any(begin < at + GRACE_S and end > at for begin, end in self._blocked()):
             return inf
-        return at + self._delay(made_at, at)
+        return at + self._delay(min(made_at, self._out_since(at)), at)
+
+    def _out_since(self, at: float) -> float:
+        """When the newest call was made that is out then; `at` itself where none is. One that came to the
+        agent in a slow time is answered as late, also when that time is over.
+        """
+        before = [call for call in self._record.calls if call.made_at <= at]
+        return before[-1].made_at if before and not _before(before[-1].written_at, at) else at
 
     def _lost(self, at: float) -> bool:
         """Whether the newest call has failed or fallen silent, or was answered and the next one is lost."""
@@ -292,7 +304,9 @@
         return sorted((o.at, o.until) for o in self._schedule.outages if o.trouble in _BLOCKING)
 
     def _refusing(self) -> list[tuple[float, float]]:
-        return sorted((o.at, o.until) for o in self._schedule.outages if o.trouble is Trouble.REFUSING)
+        if self._schedule.pushed:
+            return []
+        return sorted((o.at, o.until) for o in self._schedule.outages if o.trouble in _IS_DOWN)
 
     def _reachable_for(self, span: float, since: float) -> float:
         """The first moment before which discovery could be reached for so long on end."""
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -51,6 +51,7 @@
 SERVICE_S = 0.002  # that discovery takes for an answer
 LOOK_S = 0.01  # between two tries to send to each endpoint
 STAYS = "stays"  # an endpoint that is always ready
+TURNING_AWAY = (Trouble.DOWN, Trouble.CROWDED, Trouble.CROWDED_OR_SILENT)  # new calls, by 503
 HOPS = ("a", "b", "c")  # endpoints that change; the last one is added in the course of a schedule
 
 _READINESS = {
@@ -158,7 +159,9 @@
     def outage_begins(self, outage: Outage) -> None:
         for exchange in list(self._open):
             if outage.trouble is Trouble.REFUSING:
-                self._refuse(exchange)
+                self._refuse(exchange, Failure.REFUSED)
+            elif outage.trouble is Trouble.DOWN:
+                self._refuse(exchange, Failure.BUSY)
             elif outage.trouble is Trouble.SILENT:
                 self._silence(exchange)
             elif outage.trouble is Trouble.HASTY:
@@ -188,7 +191,12 @@
             exchange.record.connects = False
         elif self.trouble_is(Trouble.REFUSING):
             self._open.append(exchange)
-            self._refuse(exchange)
+            self._refuse(exchange, Failure.REFUSED)
+        elif self.trouble_is(Trouble.CROWDED_OR_SILENT) and len(self._record.calls) % 2:
+            exchange.record.silent_from, exchange.ended = now, True
+        elif any(map(self.trouble_is, TURNING_AWAY)):
+            self._open.append(exchange)
+            self._refuse(exchange, Failure.BUSY)
         elif self._to_lose:
             self._lose(exchange)
         else:
@@ -233,10 +241,10 @@
         update = MapUpdate(self.version, index is None, tuple(named))
         self._later(lambda: self.sender.read(exchange, None if spoilt else update))
 
-    def _refuse(self, exchange: Exchange) -> None:
+    def _refuse(self, exchange: Exchange, failure: Failure) -> None:
         self._end(exchange)
         exchange.record.failed_at = self._time.time
-        self._later(lambda: self.sender.failed(exchange, Failure.REFUSED))
+        self._later(lambda: self.sender.failed(exchange, failure))
 
     def _silence(self, exchange: Exchange) -> None:
         self._end(exchange)
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -366,16 +366,67 @@
 
 def test_a_refusal_in_words_counts_from_its_end_less_its_time_on_the_way() -> None:
     """It was written no sooner, however long discovery had let the call wait; a refused connection may be so
-    at any time since it was begun.
+    at any time since it was begun. Of a 503 that ends a watch which had been taken on: it shows an outage.
     """
-    for failure, counts_from_s in ((Failure.BUSY, 2.0 - REFUSAL_TRANSIT_S), (Failure.REFUSED, 0.0)):
+    for failure, counts_from_s in ((Failure.BUSY, 3.0 - REFUSAL_TRANSIT_S), (Failure.REFUSED, 0.0)):
         driven = Driven()
         call = driven.asked()
-        driven.watch.failed(call, failure, call.made_at + 2.0)
+        driven.watch.failed(call, failure, call.made_at + 3.0)
         end = call.made_at + counts_from_s + TERM_S
         assert not driven.held_back(end - FAIR) and driven.held_back(end + FAIR)
 
 
+@pytest.mark.parametrize("ended_s", [0.0, 0.1, 2.0, 2.49, 4.0])
+def test_a_watch_that_may_have_been_turned_away_shows_no_outage(ended_s: float) -> None:
+    """A crowded discovery lets a call wait for some time before it answers 503."""
+    driven = Driven()
+    call = driven.asked()
+    driven.watch.failed(call, Failure.BUSY, call.made_at + ended_s)
+    assert driven.held_back(call.made_at + TERM_S + FAIR)
+
+
+@pytest.mark.parametrize("ended_by", [Failure.BUSY, Failure.BROKEN])
+@pytest.mark.parametrize("between", ["refused", "a call hangs", "a dial fails here", "an answer"])
+def test_an_outage_that_a_watch_has_shown_lasts_while_each_call_is_refused(
+    ended_by: Failure, between: str
+) -> None:
+    driven = Driven()
+    call = driven.asked()
+    driven.now = call.made_at + 3.0
+    driven.watch.failed(call, ended_by, driven.now)
+    call = driven.asked()
+    if between == "refused":
+        driven.watch.failed(call, Failure.BUSY, driven.now)
+        call = driven.asked()
+    elif between == "a dial fails here":
+        driven.watch.failed(call, Failure.UNREACHED, driven.now)
+        call = driven.asked()
+    elif between == "an answer":
+        driven.watch.answered(call, 5, driven.now)
+        call = driven.asked()
+    else:
+        call = driven.asked()  # the one before has not been answered in time
+    driven.now += 0.2
+    renewed_before = driven.now - driven.watch.list_age_s(driven.now)
+    driven.watch.failed(call, Failure.BUSY, driven.now)
+    renewed = driven.now - driven.watch.list_age_s(driven.now) > renewed_before
+    assert renewed is (between == "refused")
+
+
+@pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.BUSY, Failure.BROKEN])
+def test_no_end_of_a_call_at_an_agent_renews_the_lease(failure: Failure) -> None:
+    """It is silent while discovery is down, and has what it has meanwhile."""
+    driven = Driven(subscribe=False)
+    confirmed_at = driven.now - driven.watch.list_age_s(driven.now)
+    call = driven.asked()
+    for _ in range(6):
+        driven.now += 1.5 if not call.short else 0.2
+        driven.watch.failed(call, failure, driven.now)
+        call = driven.asked()
+    assert driven.now - driven.watch.list_age_s(driven.now) == pytest.approx(confirmed_at)
+    assert driven.held_back()
+
+
 def test_a_watch_that_waited_in_vain_shows_that_nothing_was_newer_up_to_its_end() -> None:
     for waited_s, version, known_s in ((4.0, 5, 4.0), (4.0, 6, 0.0), (3.0, 5, 0.0)):
         driven = Driven()
@@ -472,7 +523,7 @@
 
 
 @pytest.mark.parametrize(("failure", "doubted"), [
-    (Failure.REFUSED, False), (Failure.BUSY, False), (Failure.UNREACHED, True), (Failure.BROKEN, True),
+    (Failure.REFUSED, False), (Failure.BUSY, True), (Failure.UNREACHED, True), (Failure.BROKEN, True),
     (Failure.SPOILT, True),
 ])  # fmt: skip
 def test_what_shows_that_discovery_is_down_ends_the_doubt(failure: Failure, doubted: bool) -> None:
--- a/tests/platform/test_mutants.py
+++ b/tests/platform/test_mutants.py
@@ -48,6 +48,9 @@
         ask_within_s=60.0,
         seed=22,
     ),
+    "a refusal in words renews": schedule(
+        Outage(0.5, 20.0, Trouble.CROWDED), Change(0.6, "b", State.LEAVING), leaves(1.0)
+    ),
     "silence is believed": schedule(Outage(0.5, 20.0, Trouble.SILENT), leaves(1.0), balancers=40),
     "long poll after a silence": schedule(Loss(0.52, 2), leaves(1.012), ask_within_s=4.0),
     "an answer dropped": schedule(Change(0.5, "b", State.LEAVING), leaves(1.0), Change(2.0, "b", State.LEFT)),
@@ -63,9 +66,11 @@
 
 
 BREAK_THE_RULE = {
-    "silence is believed", "an answer dropped", "no recheck in admit", "a rest within the watch",
-    "a back-off after a spoilt answer",
+    "silence is believed", "a refusal in words renews", "an answer dropped", "no recheck in admit",
+    "a rest within the watch", "a back-off after a spoilt answer",
 }  # fmt: skip
+# Nothing shows that the list is the newest while these last: the program holds calls back.
+WITHOUT_EVIDENCE = {"silence is believed", "a refusal in words renews"}
 
 
 @pytest.mark.parametrize("name", MUTANTS)
@@ -80,4 +85,4 @@
 def test_the_program_does_neither(name: str) -> None:
     run = play(SCHEDULES[name])
     assert not late_bytes(SCHEDULES[name], run)
-    assert name == "silence is believed" or len(run.sent.refused) <= 2
+    assert name in WITHOUT_EVIDENCE or len(run.sent.refused) <= 2
--- a/tests/test_list_evidence.py
+++ b/tests/test_list_evidence.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rillspindle.interface import Settings
-from rillspindle.list_evidence import NOTIFIED_S, SLACK_S, AnsweredCall, ListEvidence
+from rillspindle.list_evidence import NOTIFIED_S, SLACK_S, AnsweredCall, ListEvidence, RefusedCall
 from rillspindle.send_monitor import Place, Rule, SendMonitor, Violation
 from tests.settings import settings
 
@@ -14,8 +14,8 @@
 PLACE = Place("e", "127.0.0.1", 80)
 
 
-def rules(ask_within_s: float = 10.0) -> Settings:
-    env = settings()
+def rules(ask_within_s: float = 10.0, mode: str = "subscribe") -> Settings:
+    env = settings(discovery=mode)
     env["obligations"] |= {"askWithin": ask_within_s, "drainGrace": GRACE_S}
     return Settings.from_mapping(env)
 
@@ -48,7 +48,7 @@
 def test_the_newest_evidence_counts_and_settings_bound_it() -> None:
     evidence = ListEvidence(rules())
     evidence.answered(answered(10.0))
-    evidence.told_nothing(12.0)
+    evidence.dial_refused(12.0)
     evidence.answered(answered(11.0))
     assert evidence.sends_until() == pytest.approx(12.0 + NOTIFIED_S + SPARE_S)
     evidence.retune(rules(0.5))
@@ -59,13 +59,47 @@
     evidence = ListEvidence(rules())
     evidence.answered(answered(10.0))
     evidence.answer_lost(11.0)
-    evidence.told_nothing(11.5)
+    evidence.dial_refused(11.5)
     evidence.answered(answered(10.9))
     assert evidence.sends_until() == pytest.approx(11.0 + SPARE_S)
     evidence.answered(answered(11.1))
     assert evidence.sends_until() == pytest.approx(11.5 + NOTIFIED_S + SPARE_S)
 
 
+@pytest.mark.parametrize(
+    ("ended_after_s", "between", "renewed"),
+    [
+        (3.0, "", True),
+        (2.0, "", False),
+        (4.0, "", False),
+        (3.0, "unanswered", False),
+        (3.0, "answered", False),
+    ],
+)
+def test_a_refusal_in_words_counts_in_an_outage_that_a_watch_has_shown(
+    ended_after_s: float, between: str, renewed: bool
+) -> None:
+    evidence = ListEvidence(rules())
+    evidence.answered(answered(10.0))
+    evidence.refused(RefusedCall(10.0, 4.0, 10.0 + ended_after_s, in_words=True))
+    if between == "unanswered":
+        evidence.unanswered()
+    elif between == "answered":
+        evidence.answered(answered(15.0))
+    before = evidence.sends_until()
+    evidence.refused(RefusedCall(17.0, 0.001, 18.0, in_words=True))
+    assert (evidence.sends_until() > before) is renewed
+
+
+def test_no_refusal_of_an_agent_is_evidence() -> None:
+    evidence = ListEvidence(rules(mode="automatic"))
+    evidence.answered(answered(10.0))
+    evidence.dial_refused(12.0)
+    evidence.refused(RefusedCall(10.0, 2.0, 11.5, in_words=True))
+    evidence.refused(RefusedCall(10.0, 2.0, 11.5, in_words=False))
+    assert evidence.sends_until() == pytest.approx(10.0 + NOTIFIED_S + SPARE_S)
+
+
 @pytest.mark.violates
 def test_a_send_without_evidence_is_counted_whatever_the_list_says() -> None:
     found: list[Violation] = []
