Accept a rig's connections together, and wait for the ends of struck processes alone

Cause, two of the rig's own, found from tests that fail beside load and from a soak. (1) A proxy accepted one connection in three turns of the rig's loop.

Change: transports of accepted connections are made beside one another; the ends of the struck processes alone are waited for.

Measured: the two new tests fail without the change by construction (one of 30 accepted in 6 turns; a wait of 15 s) and pass.

--- a/mountgauge/lab/rig/processes.py
+++ b/mountgauge/lab/rig/processes.py
@@ -143,19 +143,25 @@
             elif number in (signal.SIGCONT, signal.SIGKILL):
                 self.paused = False
 
-    async def ended(self, limit: float = _END_LIMIT) -> None:
-        """Wait for its end; killed where it takes too long, which the events tell."""
-        if self.process is None:
+    async def ended(
+        self, process: asyncio.subprocess.Process | None = None, limit: float = _END_LIMIT
+    ) -> None:
+        """Wait for its end; killed where it takes too long, which the events tell. `process`: only for the
+        end of this one, whatever has been started in its place.
+        """
+        waited_for, reading = process or self.process, self._reading
+        if waited_for is None:
             return
         try:
             async with asyncio.timeout(limit):
-                await self.process.wait()
+                await waited_for.wait()
         except TimeoutError:
             self.events.add("too-slow", member=self.name, limit=limit)
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
-        if self._reading is not None:
-            await self._reading
+            if self.process is waited_for:
+                self.signal(signal.SIGKILL)
+            await waited_for.wait()
+        if reading is not None and self.process is waited_for:
+            await reading
 
     # Folders
 
--- a/mountgauge/lab/rig/proxies.py
+++ b/mountgauge/lab/rig/proxies.py
@@ -87,6 +87,7 @@
         self._socket.setblocking(False)
         self._filler: socket.socket | None = None  # fills the queue of connections that wait
         self._task: asyncio.Task[None] | None = None
+        self._making: set[asyncio.Task[None]] = set()  # transports of what has been accepted
         self.place: Place = self._socket.getsockname()[:2]
 
     def accept(self) -> None:
@@ -118,8 +119,14 @@
                 accepted.close()
                 own = None
                 continue
-            with contextlib.suppress(OSError):
-                await loop.connect_accepted_socket(self._protocol, accepted)
+            # Not waited for: its turns of a busy loop would be waited for by all that come behind it.
+            task = loop.create_task(self._make(accepted))
+            self._making.add(task)
+            task.add_done_callback(self._making.discard)
+
+    async def _make(self, accepted: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().connect_accepted_socket(self._protocol, accepted)
 
     def close(self) -> None:
         if self._task is not None:
--- a/mountgauge/lab/rig/runner.py
+++ b/mountgauge/lab/rig/runner.py
@@ -304,7 +304,8 @@
                             self._end_of_series(member, fault, self.schedule.rng(f"{place}/{member.name}"))
                         )
                 if fault.back_s >= 0:
-                    self._spawn(self._back(fault, members, rng.random()))
+                    struck = [member.process for member in members]
+                    self._spawn(self._back(fault, members, struck, rng.random()))
 
     async def _end_of_series(self, member: Member, fault: Fault, rng: random.Random) -> None:
         """Further signals behind SIGTERM, and SIGKILL where the process still runs at the end."""
@@ -340,8 +341,17 @@
             await asyncio.sleep(fault.for_s)
         await member.ready()
 
-    async def _back(self, fault: Fault, members: list[Member], seed: float) -> None:
-        await asyncio.gather(*(member.ended() for member in members))
+    async def _back(
+        self,
+        fault: Fault,
+        members: list[Member],
+        struck: list[asyncio.subprocess.Process | None],
+        seed: float,
+    ) -> None:
+        """Start the members again once the processes that the fault struck have ended. One that another fault
+        had just ended may be starting anew: its end would be waited for in vain.
+        """
+        await asyncio.gather(*(one.ended(process) for one, process in zip(members, struck, strict=True)))
         await asyncio.sleep(fault.back_s)
         rng = self.schedule.rng(f"folders/{seed}")
         for place, member in enumerate(members):
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import json
+import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -19,7 +21,8 @@
 from mountgauge.lab.rig.mutants import MUTANTS
 from mountgauge.lab.rig.network_conditions import NetworkConditions
 from mountgauge.lab.rig.oracle import judge
-from mountgauge.lab.rig.proxies import HOST, Place, StreamProxy
+from mountgauge.lab.rig.processes import Member
+from mountgauge.lab.rig.proxies import HOST, DialListener, Place, StreamProxy
 from mountgauge.lab.rig.schedule import load
 from tests.helper import run, until
 from tests.rigs import EVERY_RULE, RIGS, SENDERS
@@ -227,3 +230,44 @@
     )
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
+
+
+def test_connections_that_wait_are_accepted_together() -> None:
+    """One in three turns of a busy loop was too slow for clients that gave up meanwhile and came again."""
+
+    async def main() -> None:
+        made = list[asyncio.Protocol]()
+
+        def protocol() -> asyncio.Protocol:
+            made.append(asyncio.Protocol())
+            return made[-1]
+
+        listener = DialListener(protocol, (HOST, 0))
+        dials = [socket.create_connection(listener.place) for _ in range(30)]
+        listener.accept()
+        for _ in range(6):
+            await asyncio.sleep(0)
+        assert len(made) == len(dials)
+        listener.close()
+        for dial in dials:
+            dial.close()
+
+    run(main())
+
+
+def test_the_end_of_a_struck_process_is_waited_for_and_not_that_of_its_successor(tmp_path: Path) -> None:
+    """A kill that fell into a start let all that were killed with it come 15 s late (soak, 10206)."""
+
+    async def main() -> None:
+        ended = await asyncio.create_subprocess_exec(sys.executable, "-c", "")
+        successor = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", "input()", stdin=subprocess.PIPE
+        )
+        member = Member("m01", HOST, tmp_path, Events(lambda: 0.0), process=successor)
+        await asyncio.wait_for(member.ended(ended), 10)
+        assert member.running
+        member.signal(signal.SIGKILL)
+        await member.ended()
+        assert not member.running
+
+    run(main())
