Judge an answer for the call that it was written to, and no 503 as an outage

Cause: the oracle took each list that was written for the answer to the newest call. It also took a 503 of a crowded discovery, and a refusal on the way to an agent, for an outage.

Change: told and list-hung name the connection, and count for its call alone; a 503 doesn't put the six seconds off, and at an agent nothing does.

--- a/mountgauge/lab/rig/list_calls.py
+++ b/mountgauge/lab/rig/list_calls.py
@@ -17,6 +17,11 @@
     return "index" in pairs, int(pairs.get("wait", ["0"])[0]) / 1000
 
 
+def connection_name(link: str, number: int) -> str:
+    """How events name a connection of a member's link to discovery."""
+    return f"{link}/{number}"
+
+
 class ListCallRecorder:
     """The watcher of one member's link to discovery, on which its notices go as well."""
 
@@ -47,4 +52,4 @@
         self._events.add("dial-refused", member=self._member)
 
     def _name(self, connection: int) -> str:
-        return f"{self._link}/{connection}"
+        return connection_name(self._link, connection)
--- a/mountgauge/lab/rig/notified.py
+++ b/mountgauge/lab/rig/notified.py
@@ -6,10 +6,10 @@
 
 - An answer counts as written only if it was written whole and onto a link that carried it: one that was reset
   half-way or went into a silence belongs to a failed or a silent call.
-- "Could be reached" ends with a refusal: discovery is down, it has turned this member's call away (503), or
-  the way to it refuses connections. The six seconds begin anew then, as the page on `askWithin` says
-  ("counted anew when discovery is back"). A silence, resets, slowness and a process that is stopped do not
-  put them off.
+- "Could be reached" ends where discovery is down, or the way to it refuses connections. The six seconds begin
+  anew then, as the page on `askWithin` says ("counted anew when discovery is back"). A 503 of a discovery
+  that has too many calls, a silence, resets, slowness and a process that is stopped do not put them off, and
+  at an agent nothing does: "while discovery is down the agent is silent".
 - After SIGHUP the four seconds hold unless the new address refuses as they end.
 - Pushed lists: "one clock for silence, whether lists are pushed or asked for". A call to the agent that is
   silent, or a link to it that is cut, has that clock; a slow agent's change counts as it is written, as a
@@ -54,7 +54,7 @@
     wait_s: float = 0.0  # that discovery was asked to wait for news
     ended: float = math.inf  # when its answer was written, or it was given up, refused or reset
     version: int | None = None  # of the answer that was written; None: none was
-    refused: bool = False  # turned away in words, or its dial was
+    refused: bool = False  # its dial was
     hung_at: float | None = None  # from when on discovery let it hang
 
     @property
@@ -205,6 +205,8 @@
 
 def _reachable(at: float, for_s: float, life: Life) -> float:
     """The first moment from `at` on before which discovery refused nothing for so long."""
+    if life.pushed:
+        return at
     refused = [Span(call.began, call.ended) for call in life.calls if call.refused]
     for span in sorted((*life.refusing, *refused), key=lambda one: one.end):
         if span.begin < at and span.end > at - for_s:
--- a/mountgauge/lab/rig/runner.py
+++ b/mountgauge/lab/rig/runner.py
@@ -22,7 +22,7 @@
 
 from mountgauge.lab.rig import files
 from mountgauge.lab.rig.events import Events
-from mountgauge.lab.rig.list_calls import ListCallRecorder
+from mountgauge.lab.rig.list_calls import ListCallRecorder, connection_name
 from mountgauge.lab.rig.network_conditions import NetworkConditions
 from mountgauge.lab.rig.processes import GOSSIP, RESP, Member, hosts
 from mountgauge.lab.rig.proxies import HOST, DatagramProxy, Place, Proxies, StreamProxy
@@ -61,7 +61,7 @@
             spec.dest: PartnerStandIn(spec, self.events, self._who) for spec in schedule.partners
         }
         self.platform = PlatformStandIn(
-            self.events, self._who, self._place_of, self._carries, schedule.fleet.pushed
+            self.events, self._who, self._place_of, self._carries, self._connection, schedule.fleet.pushed
         )
         self.members = {
             name: Member(name, host, folder / name, self.events, watch=self._line)
@@ -86,6 +86,12 @@
         link = self.proxies.all.get((member, "discovery"))
         return link is None or link.carries_from(peer)
 
+    def _connection(self, member: str, peer: Place) -> str:
+        """The member's connection to discovery, as its list calls name it; empty where it is not known."""
+        link = self.proxies.all.get((member, "discovery"))
+        number = None if link is None else link.number_of(peer)
+        return "" if link is None or number is None else connection_name(str(link.place[1]), number)
+
     def _line(self, member: str, pairs: Mapping[str, str]) -> None:
         event = pairs.get("event", "")
         if event.startswith(_KEPT_LINES) or pairs.get("level") in ("error", "critical"):
--- a/mountgauge/lab/rig/stand_ins.py
+++ b/mountgauge/lab/rig/stand_ins.py
@@ -35,6 +35,7 @@
 
 Who = Callable[[Any], str]  # which member a connection's peer name belongs to
 Carries = Callable[[str, Place], bool]  # whether the link carries what is said to a member's peer name
+Connections = Callable[[str, Place], str]  # the name of the connection that a member has from an address
 
 
 class Truncated(NamedTuple):
@@ -223,10 +224,12 @@
         who: Who,
         place_of: Callable[[str, str], Place],
         carries: Carries,
+        connection: Connections,
         pushed: bool = False,
     ) -> None:
         super().__init__(who)
-        self.events, self._place_of, self._carries, self.pushed = events, place_of, carries, pushed
+        self.events, self._place_of, self._carries = events, place_of, carries
+        self._connection, self.pushed = connection, pushed
         self.entries: dict[str, Listed] = {}
         self.version = 0
         self.kept: list[tuple[int, dict[str, Listed]]] = []
@@ -325,7 +328,7 @@
         self.events.add("list-call", member=member, watch=watch)
         if self.to_hang[member] > 0:
             self.to_hang[member] -= 1
-            self.events.add("list-hung", member=member)
+            self.events.add("list-hung", member=member, connection=self._connection(member, peer))
             await asyncio.sleep(_FOR_EVER_S)
         return await self._list(member, path, wait_s, peer)
 
@@ -350,7 +353,7 @@
         if self.resets:
             return Truncated(answer[: len(answer) // 2])
         if self._carries(member, peer):
-            self.told(member, found)
+            self.told(member, found, self._connection(member, peer))
         return answer
 
     async def _news_after(self, index: int, ends: float) -> bool:
@@ -364,12 +367,14 @@
                 await asyncio.wait_for(self._news.wait(), left)
         return not self.down
 
-    def told(self, member: str, found: Mapping[str, Any]) -> None:
+    def told(self, member: str, found: Mapping[str, Any], connection: str = "") -> None:
+        """A list is written to the member on this connection, or given to it at its start."""
         if found["full"]:
             self.last[member] = found
         self.events.add(
             "told",
             member=member,
+            connection=connection,
             version=found["version"],
             full=found["full"],
             states={one["id"]: one["state"] for one in found["servers"]},
--- a/tests/lab/test_notified.py
+++ b/tests/lab/test_notified.py
@@ -222,6 +222,20 @@
     assert notified_at(CHANGE, replace(process, known=1)) == 6.2, "not at once, though lists are pushed"
 
 
+def test_an_answer_is_that_of_the_call_on_its_connection() -> None:
+    """The soak's seed 10206: an older call was answered while the newest one hung."""
+    beside = at(3.0, "list-ask", connection="a/2", watch=True, wait_s=0.001)
+    hung = at(3.1, "list-hung", connection="a/2")
+    told = at(3.5, "told", connection="a/1", version=1, full=True, states={})
+    found = history([*STARTED, beside, hung, told, DRAINED], 10.0, True)
+    (process,) = found.lives("m01")
+    assert process.calls == [ListCall(0.1, 10.0, 3.5, version=1), ListCall(3.0, 0.001, hung_at=3.1)]
+    assert notified_at(CHANGE, process) == 9.1, "the call that is out at the change is silent"
+    late = at(5.0, "told", connection="a/2", version=2, full=True, states={})
+    found = history([*STARTED, beside, told, DRAINED, late], 10.0, True)
+    assert found.lives("m01")[0].calls[-1] == ListCall(3.0, 0.001, 5.0, version=2)
+
+
 def test_faults_of_discovery_and_of_the_link_are_read_from_events() -> None:
     found = history(
         [
