Count what a call to be answered at once shows from when it was made

Cause: a short call asks discovery to wait for 1 ms and was taken for one that had been let wait, whether or not it was: what it showed counted from 1 ms after it was made, so one that was made up to 1 ms before a loss made that good. The check compares with when the call was made, and was right.

Change: of a call to be answered at once all counts from when it was made, in the lease as in the check.

--- a/mountgauge/platform/list_call.py
+++ b/mountgauge/platform/list_call.py
@@ -76,9 +76,10 @@
 
 def known_at(call: ListCall, version: int, now: float) -> float:
     """Up to when all that discovery had is known by the answer to this call: a watch that is answered with
-    nothing newer once its wait is over was answered no sooner than that.
+    nothing newer once its wait is over was answered no sooner than that. Of a call to be answered at once
+    nobody knows whether it was let wait at all.
     """
     waited = now - call.made_at >= call.wait_s - WAIT_ROUNDING_S
-    if call.index is None or version > call.index or not waited:
+    if call.short or call.index is None or version > call.index or not waited:
         return call.made_at
     return min(now, call.made_at + call.wait_s)
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -267,6 +267,18 @@
         assert driven.held_back() is held
 
 
+def test_a_short_call_made_before_a_loss_does_not_make_it_good() -> None:
+    """The soak's seed 10206: it was to wait for 1 ms, and was taken for one that had been answered after it;
+    the run-time check counted the calls that went then.
+    """
+    driven = Driven(heard=False)
+    lost, short = driven.asked(), driven.asked()
+    lost_at = short.made_at + short.wait_s / 2
+    driven.watch.failed(lost, Failure.SPOILT, lost_at)
+    driven.watch.answered(short, 5, short.made_at + 0.3)
+    assert driven.watch.lease_ended(short.made_at + 0.3) is LeaseEnd.ANSWER_LOST
+
+
 @pytest.mark.parametrize("grace_s", [0.0, 0.1, 0.25, 1.0])
 def test_a_grace_that_is_shorter_than_a_hold_up_is_not_used(grace_s: float) -> None:
     terms = LeaseTerms(NOTIFIED_S, grace_s, MOVED_S)
