Judge rules of safety in each play of a rig, also where its senders were starved

Cause: a rig whose senders had to wait for the machine is played again and only the last play counted, whatever the ones before had shown; a rule holds on a busy machine too.

Change: repeat, drain, wait, two-out, handed-back, the senders' own check and the ends of processes are judged in the plays with starved senders as well, with the slack that the soak gives for lateness of the rig's own loop; what was served is judged in the last one, as before.

--- a/tests/lab/test_starvation.py
+++ b/tests/lab/test_starvation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 from pathlib import Path
 
@@ -9,6 +10,7 @@
 
 from mountgauge.lab.rig.events import Event
 from mountgauge.lab.rig.starvation import KIND, RunDelays, share, waited_s
+from tests.rigs import unsafe_plays
 
 
 def test_only_what_a_counter_has_grown_by_counts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -27,3 +29,20 @@
     events = [Event(float(at), KIND, {"member": name, "waited_s": 0.5}) for at, name in enumerate("aab")]
     assert waited_s(events) == {"a": 1.0, "b": 0.5}
     assert share([*events, Event(1.0, "lag", {"late_s": 9.0})], members=3, seconds=10.0) == 0.05
+
+
+def test_rules_of_safety_are_judged_in_plays_with_starved_senders_too(tmp_path: Path) -> None:
+    states = {"e1-0": "leaving", "e1-1": "active"}
+    events = [
+        Event(0.0, "start", {"member": "m01"}),
+        Event(0.1, "told", {"member": "m01", "version": 2, "full": True, "states": states}),
+        Event(3.0, "call", {"member": "m01", "call": 1, "id": "a", "dest": 1, "endpoint": "e1-0"}),
+        Event(4.0, KIND, {"member": "m01", "waited_s": 9.0}),
+    ]
+    folder = tmp_path / "drains-starved-1"
+    folder.mkdir()
+    lines = [json.dumps({"at": event.at, "kind": event.kind, **event.fields}) for event in events]
+    (folder / "events.jsonl").write_text("\n".join(lines))
+    (found,) = unsafe_plays("drains", "drains", tmp_path)
+    assert "drain at 3.000 s, m01" in found
+    assert unsafe_plays("drains", "drains-pushed", tmp_path) == []
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -22,6 +22,7 @@
 from mountgauge.lab.rig.schedule import Schedule, load
 from mountgauge.lab.rig.starvation import MOST_SHARE, share
 from mountgauge.lab.soak.mutants import MUTANTS as GUARD_MUTANTS
+from mountgauge.lab.soak.verdict import verdict
 
 EXPERIMENTS = Path(__file__).parent.parent / "experiments"
 EVERY_RULE = EXPERIMENTS / "rig" / "every-rule.toml"
@@ -46,9 +47,10 @@
 _MEMORY, _ROOM_BYTES = Path("/dev/shm"), 2 << 30
 _AT_ONCE = 3  # fleets of up to twelve senders, beside the other tests
 _LIMIT = 240.0  # s that a rig may take, however slow the machine
-# A play whose senders had to wait for the machine says nothing of the program, whatever came of it: it is
-# played again by itself. The last one counts as it is.
+# A play whose senders had to wait for the machine says nothing of what the program serves: it is played again
+# by itself, and the last one counts for that. Rules hold on a busy machine too, and are judged in each play.
 _MOST_PLAYS = 3
+SAFETY = ("repeat", "drain", "wait", "two-out", "handed-back", "invariant", "crash")
 
 _CODE = (
     "import sys; from pathlib import Path; from mountgauge.lab.rig import runner, schedule\n"
@@ -130,10 +132,10 @@
             self._done[batch].set()
 
     def _play_again(self, batch: str, name: str) -> None:
-        """As long as its senders were starved, by itself; what is judged is not looked at."""
+        """As long as its senders were starved, by itself; what was served is not looked at."""
         shares = self.starved[name] = [self._share(batch, name)]
         while shares[-1] > MOST_SHARE and len(shares) < _MOST_PLAYS:
-            shutil.move(self.folder / name, self.folder / f"{name}-starved-{len(shares)}")
+            shutil.move(self.folder / name, _starved(self.folder, name, len(shares)))
             self._wait({name: self._scene(batch, name)})
             shares.append(self._share(batch, name))
 
@@ -188,6 +190,18 @@
         return self.folder
 
 
+def _starved(root: Path, name: str, play: int) -> Path:
+    """Where a play of which the senders were starved is kept."""
+    return root / f"{name}-starved-{play}"
+
+
+def unsafe_plays(batch: str, name: str, root: Path) -> list[str]:
+    """A line for each rule of safety that was broken in a play with starved senders."""
+    folders = [_starved(root, name, play) for play in range(1, _MOST_PLAYS)]
+    plays = [Played(load(_file(batch, name)), folder) for folder in folders if folder.exists()]
+    return [f"{name}: {line}" for play in plays for line in play.unsafe()]
+
+
 RIGS = Rigs()
 
 
@@ -203,9 +217,19 @@
 
     @classmethod
     def all(cls, batch: str) -> dict[str, Played]:
+        """The plays of a batch that count; in those before them no rule of safety may have been broken."""
         root = RIGS.wait(batch)
+        unsafe = [
+            line for name in _PLAYED[batch] if name not in MUTATED for line in unsafe_plays(batch, name, root)
+        ]
+        assert not unsafe, "in plays with starved senders: " + "; ".join(unsafe)
         return {name: cls(load(_file(batch, name)), root / name) for name in _PLAYED[batch]}
 
+    def unsafe(self) -> list[str]:
+        """The rules of safety that were broken, with what the rig's own lateness excuses taken out."""
+        found = verdict(self.schedule, self.events, ())
+        return [str(broken) for broken in found.broken if broken.rule in SAFETY]
+
     def logs(self, event: str) -> list[dict[str, Any]]:
         return [
             {"member": one.fields["member"], "at": one.at, **one.fields["pairs"]}
