--- a/tests/crossings/test_list_lease.py
+++ b/tests/crossings/test_list_lease.py
@@ -421,3 +421,23 @@
             assert discovery.short_calls == asked_at_once
 
     run_faulty(main)
+
+
+def test_an_agent_that_is_slow_is_believed_once_a_short_call_is_answered() -> None:
+    """Each look finds the answer unwritten up to then, also while the list may not be gone by."""
+
+    async def main(faults: Faults, loop: FaultyLoop) -> None:
+        async with watching(faults, bounds_of_watch=agent_bounds()) as world:
+            discovery = world.discovery
+            await until(lambda: not world.held_back())
+            discovery.standing[0].write(listing(6, False))
+            time.sleep(2 * GRACE_S)
+            discovery.holds_short = True
+            await until(lambda: discovery.paths[1:] and world.held_back())
+            short = len(discovery.paths) - 1
+            await world.looks_until(loop_reaches(loop.time() + 2 * GRACE_S))
+            asked = f"GET {discovery.paths[short]} HTTP/1.1"
+            discovery.standing[short].write(no_changes(asked))
+            await until(lambda: not world.held_back(), 2 * GRACE_S)
+
+    run_faulty(main)
