--- a/tests/crossings/test_notified.py
+++ b/tests/crossings/test_notified.py
@@ -61,6 +61,8 @@
         if fate == "silent":
             self.silent_since.append(now)
             await asyncio.sleep(60)
+        if fate == "reset":
+            return None  # the connection is closed
         if fate == "refuse":
             return response(503, "down", {}, b"")
         if self.delay_s:
--- a/tests/crossings/test_refused_discovery.py
+++ b/tests/crossings/test_refused_discovery.py
@@ -1,4 +1,4 @@
-"""A 503 tells of a discovery that runs: alone it says nothing of the list, and renews nothing.
+"""A 503 or a reset tells of a discovery that runs: alone it says nothing of the list, and renews nothing.
 
 Whole processes against a scripted discovery, many worlds at once. Asserted is the page's earliest moment, 6 s
 after discovery had the change and could be reached, with the grace of a drain; where lists are pushed, the
@@ -15,7 +15,7 @@
 from tests.helper import run, until
 
 WATCHED_S = 6.0  # past the due time, in which calls to the one that left are looked for
-SILENT, REFUSE, ANSWER = "silent", "refuse", "answer"
+SILENT, REFUSE, RESET, ANSWER = "silent", "refuse", "reset", "answer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +45,19 @@
     Scene("an agent, refused and silent in turn", 12, (ANSWER, REFUSE, *IN_TURN), "automatic", new=False),
     Scene("an agent, a new process, four refused, then silent", 12, REFUSED_THEN_SILENT, "automatic"),
 ]
+RESET_SCENES = [
+    *(
+        scene
+        for senders in (12, 200)
+        for scene in (
+            Scene("a new process, reset, then silent", senders, (*(RESET,) * 12, *(SILENT,) * 8)),
+            Scene(
+                "one answer, reset, then silent", senders, (ANSWER, *(RESET,) * 12, *(SILENT,) * 8), new=False
+            ),
+        )
+    ),
+    Scene("an agent, reset and silent in turn", 12, (ANSWER, *(RESET, SILENT) * 6), "automatic", new=False),
+]
 
 
 async def late_calls(scene: Scene, folder: Path) -> list[str]:
@@ -71,11 +84,15 @@
     return found
 
 
+async def none_late(scenes: list[Scene], folder: Path) -> None:
+    found = await asyncio.gather(*(late_calls(one, folder / str(place)) for place, one in enumerate(scenes)))
+    late = [line for lines in found for line in lines]
+    assert not late, "\n".join(late)
+
+
 def test_a_list_is_not_believed_for_refusals_in_words(tmp_path: Path) -> None:
-    async def main() -> None:
-        scenes = [late_calls(scene, tmp_path / str(place)) for place, scene in enumerate(SCENES)]
-        found = await asyncio.gather(*scenes)
-        late = [line for lines in found for line in lines]
-        assert not late, "\n".join(late)
+    run(none_late(SCENES, tmp_path), 60)
+
 
-    run(main(), 60)
+def test_a_list_is_not_believed_for_resets(tmp_path: Path) -> None:
+    run(none_late(RESET_SCENES, tmp_path), 60)
