Let a watch that was out for 0.5 s show an outage, and count from its end past 2.5 s alone

Cause: the bound that keeps a crowd's late 503 from renewing was asked of the sign of an outage as well.

Change: a watch that was out for 1/8 of the longest wait (0.5 s) and ends shows an outage, so that refusals behind it renew; its own end renews only past 5/8 of the wait, else it counts from its making, which a crowd's late 503 can't spoil. The run-time check alike.

Tests of the lease, the watch and the check 279 passed, the property passes (152 s), test_refused_discovery's scenes of 503 none late.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -58,7 +58,7 @@
     watch_silent: bool = False  # a watch was asked and not answered in time
     losses: int = 0  # answers that may have been lost, one after another
     repeats: int = 0  # watches answered at once with nothing newer
-    down: bool = False  # discovery has ended a watch that it had taken on, and refused each call since
+    down: bool = False  # discovery has ended a watch that was out, and refused each call since
 
 
 class DiscoveryWatch:
@@ -312,22 +312,28 @@
         if failure is Failure.SPOILT:
             self._lease.lose(Loss.CERTAIN, now)
             return True
-        if self._was_taken_on(call, now):
+        if self._was_out(call, now):
             self._since_answer.down = True
         if failure is Failure.BROKEN:
             alone = not self._connected_at.keys() - {call}
             return self._lease.broke(call.made_at, now, alone)
         if call.address == self._address and self._shows_an_outage(failure):
-            self._lease.unreachable(refused_at(call, failure, now))
+            self._lease.unreachable(self._refusal_counts_from(call, failure, now))
         return False
 
-    def _was_taken_on(self, call: ListCall, now: float) -> bool:
+    def _was_out(self, call: ListCall, now: float) -> bool:
         """Whether the call was a watch that discovery let wait, and has now ended: it ends watches as it goes
         down, while one that has too many calls turns new ones away and leaves open watches alone.
         """
         if call.short or call not in self._connected_at or self._since_answer.lost:
             return False
-        return self.bounds.taken_after_s <= now - call.made_at < call.wait_s - WAIT_ROUNDING_S
+        return self.bounds.out_after_s <= now - call.made_at < call.wait_s - WAIT_ROUNDING_S
+
+    def _refusal_counts_from(self, call: ListCall, failure: Failure, now: float) -> float:
+        """Of a watch that may have been turned away late, as a new call, no later than it was made."""
+        if not call.short and now - call.made_at < self.bounds.taken_after_s:
+            return call.made_at
+        return refused_at(call, failure, now)
 
     def _shows_an_outage(self, failure: Failure) -> bool:
         """Whether this end says that nobody could be told anything: a refused connection, or a refusal in
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -18,8 +18,9 @@
 - Discovery is there and turns calls away, as it has too many: it could not be reached, and asking sooner than
   it works off only makes it turn more away. Then calls are spread over `busy_spread_s`, which with three
   senders is 0.4 s and may pass 6 s with more than 30.
-- Discovery is down, and says so: it ends a watch that it has taken on (`taken_after_s` of its wait is over),
-  and refuses all calls behind it. A 503 alone does not tell that from a crowded discovery: it renews nothing.
+- Discovery is down, and says so: it ends a watch that was out (for `out_after_s`), and refuses all calls
+  behind it. A 503 alone does not tell that from a crowded discovery: it renews nothing. That of the watch
+  itself renews where it surely was no new call that was turned away (`taken_after_s`).
 - The way to discovery is cut, and comes back: a connection that does not come up costs discovery nothing, so
   another one is begun after `probe_s`: 0.15 s in a small fleet, so that a change which counts as notified
   when the cut ends is read within the grace; more with many senders, or once it has lasted for long. Each is
@@ -58,8 +59,10 @@
 ANSWER_MARGIN_S = 0.5  # past its wait after which a watch without an answer is taken to be silent
 MOST_WAIT_S = 60.0  # that discovery lets a call wait
 WAIT_SHARE = 2 / 3  # of the notified time, that a watch waits at most
-# Of a watch's wait, after which discovery has surely taken it on: a crowded one turns a call away sooner.
-TAKEN_SHARE = 5 / 8
+# Of a watch's wait, after which discovery, if it is to turn the call away, mostly has: a watch that it ends
+# later was out.
+OUT_SHARE = 1 / 8
+TAKEN_SHARE = 5 / 8  # the same, surely: a crowded discovery lets no call queue for so long
 REFUSAL_TRANSIT_S = 1.0  # that an answer which turns a call away may be on its way, at most
 WAIT_ROUNDING_S = 0.01  # by which a wait may seem shorter to the one who waits than to discovery
 PUSHED_WAIT_S = 2.0  # where an agent on this machine is asked, which costs nobody anything
@@ -100,7 +103,8 @@
 
     pushed: bool  # an agent on this machine pushes lists: what it has counts as told, asked for or not
     wait_s: float  # that a watch asks discovery to wait for changes
-    taken_after_s: float  # of its wait, behind which discovery has taken a watch on
+    out_after_s: float  # of its wait, behind which a watch that is ended shows an outage
+    taken_after_s: float  # behind which it has surely not been turned away
     known_within_s: float  # after discovery can be reached, in which a change must have been read
     first_limit_s: float  # after which a call without an answer gets company; doubles up to the next
     limit_most_s: float
@@ -129,6 +133,7 @@
         return cls(
             pushed=not rules.subscribe,
             wait_s=wait,
+            out_after_s=OUT_SHARE * wait,
             taken_after_s=TAKEN_SHARE * wait,
             known_within_s=known_within,
             first_limit_s=min(crowd_limit, max(min(LEAST_LIMIT_S, limit_most), crowded)),
--- a/rillspindle/list_evidence.py
+++ b/rillspindle/list_evidence.py
@@ -17,7 +17,8 @@
 FAILED_FACTOR = 4  # times `askWithin`
 SLACK_S = 0.05  # by which every time limit is longer on sockets
 ROUNDING_S = 0.01  # by which a wait may seem shorter to the one who waits
-TAKEN_SHARE = 5 / 8  # of its wait, after which a watch is not one that a crowded discovery turns away
+OUT_SHARE = 1 / 8  # of its wait, after which a watch that is ended was out
+TAKEN_SHARE = 5 / 8  # of its wait, up to which it may have been turned away as a new call all the same
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +47,16 @@
     in_words: bool
 
     @property
-    def was_taken_on(self) -> bool:
+    def was_out(self) -> bool:
         """Whether it was a watch that discovery let wait: it ends watches as it goes down."""
         lasted_s = self.ended_at - self.made_at
-        return TAKEN_SHARE * self.wait_s <= lasted_s < self.wait_s - ROUNDING_S
+        return OUT_SHARE * self.wait_s <= lasted_s < self.wait_s - ROUNDING_S
+
+    @property
+    def known_at(self) -> float:
+        """From when on it counts, in an outage."""
+        turned_away = self.ended_at - self.made_at < TAKEN_SHARE * self.wait_s
+        return self.made_at if turned_away else self.ended_at
 
 
 class ListEvidence:
@@ -86,9 +93,9 @@
         """Discovery has ended a call. That it could not be reached is shown by a watch that was ended, and
         by each refusal behind it; a 503 alone may come from one that has too many calls.
         """
-        self._down = self._down or call.was_taken_on
+        self._down = self._down or call.was_out
         if self._settings.subscribe and (self._down or not call.in_words):
-            self._newest = max(self._newest, call.ended_at)
+            self._newest = max(self._newest, call.known_at)
 
     def unanswered(self) -> None:
         """A call has not been answered in time: discovery, if it was down, may be back."""
