Let a row of resets show an outage only behind a watch that was out

Callers saw messages sent to endpoints that had left, 1.9 to 6.0 s late, where discovery reset calls for a second and then let them hang. Cause: the row of breaks that stands for an outage began anywhere, also at a process that had never had a watch; a discovery with too many calls may reset them.

Change: a row counts behind a watch that was out and has been ended, as a 503 does.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -316,7 +316,7 @@
             self._since_answer.down = True
         if failure is Failure.BROKEN:
             alone = not self._connected_at.keys() - {call}
-            return self._lease.broke(call.made_at, now, alone)
+            return self._lease.broke(call.made_at, now, alone and self._since_answer.down)
         if call.address == self._address and self._shows_an_outage(failure):
             self._lease.unreachable(self._refusal_counts_from(call, failure, now))
         return False
