Let a refusal in a shown outage renew a lease that ran out in it, and ask again sooner

Callers at senders whose second call to a discovery that is down came late, up to 4.8 s behind the watch's end with 200 senders and 2 s in the call, were held back to the end of the outage: the lease had run out before, and a refusal renews only one that holds. Cause: two rules that are right for a refusal of unknown meaning were kept for one in an outage that began while the lease held, in which nothing can be told.

Change: such a refusal renews the lease whenever it comes, and the call behind the watch is spread as behind a failed call (2.4 s), not as at a crowded discovery.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -9,7 +9,8 @@
 - `confirm`: a whole answer to a call that was made then. All that the source had before is known.
 - `unreachable`: an end that says that the source told nobody at some moment after that: a refusal. What
   changes meanwhile counts anew from its return. It renews a lease that has not run out, as what had changed
-  for longer counted before; a new process has the rule's time from its beginning to be refused.
+  for longer counted before, or whose source has told nobody since it held; a new process has the rule's time
+  from its beginning to be refused.
 
 Silence, a slow answer, a lost one, a connection that does not come up, an error of this machine, and the
 list that a process is started with move nothing: they have no time, or prove nothing.
@@ -145,16 +146,15 @@
         self._moved_at = self._breaking_since = None
         self._make_good(asked_at, Loss.CERTAIN)
 
-    def unreachable(self, asked_at: float) -> None:
+    def unreachable(self, asked_at: float, lasting: bool = False) -> None:
         """A call that was made then has been refused. After a move a refusal counts only once the time of
         the move is over: until then the source may come back, and owe the whole list by the end of it.
+        `lasting`: the source went down while the lease held, and nobody could be told anything since.
         """
         if self._moved_at is not None and asked_at < self._moved_at + self.terms.notified_after_move_s:
             return
-        if (
-            asked_at > max(self._evidence_at, self._begun_at) + self.terms.notified_s
-            and not self.terms.resumes
-        ):
+        ran_out_at = max(self._evidence_at, self._begun_at) + self.terms.notified_s
+        if asked_at > ran_out_at and not (lasting or self.terms.resumes):
             return
         self._moved_at = None
         self._evidence_at = max(self._evidence_at, asked_at)
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -304,7 +304,7 @@
         elif lost:
             self._retry(call, now + self.bounds.lost_retry_s(state.losses, self._rng.random()))
         else:
-            busy = failure is Failure.BUSY
+            busy = failure is Failure.BUSY and not state.down
             self._retry(call, now + self.bounds.back_off_s(state.failures, self._rng.random(), busy))
 
     def _note_end(self, call: ListCall, failure: Failure, now: float) -> bool:
@@ -318,7 +318,8 @@
             alone = not self._connected_at.keys() - {call}
             return self._lease.broke(call.made_at, now, alone and self._since_answer.down)
         if call.address == self._address and self._shows_an_outage(failure):
-            self._lease.unreachable(self._refusal_counts_from(call, failure, now))
+            counts_from = self._refusal_counts_from(call, failure, now)
+            self._lease.unreachable(counts_from, lasting=self._since_answer.down)
         return False
 
     def _was_out(self, call: ListCall, now: float) -> bool:
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -453,6 +453,26 @@
     assert renewed is (between == "refused")
 
 
+@pytest.mark.parametrize("lasting", [False, True])
+def test_in_an_outage_that_began_while_it_held_a_lease_that_has_run_out_comes_back(lasting: bool) -> None:
+    """What changes in it counts anew from discovery's return, whenever the next call has been refused."""
+    lease = confirmed(10.0)
+    refused_at = 10.0 + TERM_S + 1.0
+    lease.unreachable(refused_at, lasting)
+    assert (lease.ended(refused_at) is None) is lasting
+
+
+def test_the_call_behind_a_watch_that_has_shown_an_outage_comes_within_the_lease() -> None:
+    """A discovery that is down is not crowded: 200 senders asked again after up to 4.8 s."""
+    for seed in range(20):
+        driven = Driven(200)
+        driven.watch._rng.seed(seed)
+        driven.goes_down(Failure.BUSY)
+        ended_at = driven.now
+        driven.call()
+        assert driven.now - ended_at <= 0.25 * 1.25 + driven.bounds.spread_s
+
+
 @pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.BUSY, Failure.BROKEN])
 def test_no_end_of_a_call_at_an_agent_renews_the_lease(failure: Failure) -> None:
     """It is silent while discovery is down, and has what it has meanwhile."""
