--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -264,7 +264,8 @@
             kept = self._take_kept()
             self._calls.made(call, kept is not None)
             exchange.begin(kept)
-        if self._lease_file is not None:
+        # In a move what stands there is of the old address, and stays.
+        if self._lease_file is not None and (not self._watch.is_moving or self._watch.resumable is None):
             self._lease_file.keep(self._watch.resumable, self._address, self._owner.version)
         self._wake_in_time()
 
--- a/mountgauge/platform/kept_lease.py
+++ b/mountgauge/platform/kept_lease.py
@@ -2,8 +2,9 @@
 
 Pure: no I/O, no clock. The next process goes by its list up to the same moment as the one before would have
 (`core/list_lease`), and not a moment longer, as the evidence keeps its time. That holds where both processes
-read one monotonic clock, ask the same discovery, and the list that the next one is started with is no older
-than the one that the evidence is for. Whatever else is found counts as nothing.
+read one monotonic clock, and the list that the next one is started with is no older than the one that the
+evidence is for. Where discovery has another address since, it has moved after that evidence, and the time of
+a move is counted from there. Whatever else is found counts as nothing.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 
     evidence_at: float  # from when the newest evidence counts, on the monotonic clock, in s
     down: bool  # discovery has shown that it is down, and refused each call since
+    moved: bool = False  # the evidence is of another address than the one that is asked now
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,11 @@
     down: bool
     confirmed: Stamp  # from when the newest evidence counts
 
+    def at(self, address: str, evidence_at: float) -> LeaseState:
+        """The lease as it holds where this address is asked."""
+        moved = address != self.address
+        return LeaseState(evidence_at, self.down and not moved, moved)
+
     def age_s(self, now: Stamp) -> float:
         """How old the evidence is; infinite where the two processes may not have read one clock."""
         _, basis = rebase(self.confirmed, self.confirmed.base, now)
--- a/mountgauge/platform/lease_file.py
+++ b/mountgauge/platform/lease_file.py
@@ -28,8 +28,9 @@
         self._stands = True  # the file may be there
 
     def resume(self, address: Address, known_version: int, most_age_s: float) -> LeaseState | None:
-        """The lease that an earlier process had at this discovery, where the list of this version, by which
-        this process begins, is no older, and its evidence is younger than that; None where there is none.
+        """The lease that an earlier process had, as it holds where this address is asked; None where there
+        is none, where it is for a newer list than that of this version, by which this process begins, or
+        where its evidence is as old as that.
         """
         try:
             kept = kept_lease.decode(self._files.read(self._path))
@@ -38,12 +39,12 @@
         except (OSError, KeptLeaseError) as error:
             log.warning("kept-lease-not-read", extra=kv(error=error))
             return None
-        if kept.address != _text(address) or kept.version > known_version:
+        if kept.version > known_version:
             return None
         age_s = kept.age_s(read(self._clocks))
         if age_s >= most_age_s:
             return None
-        return LeaseState(self._clocks.now() - age_s, kept.down)
+        return kept.at(_text(address), self._clocks.now() - age_s)
 
     def keep(self, lease: LeaseState | None, address: Address, version: int) -> None:
         """The lease now; None where a next process must wait for an answer."""
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -103,13 +103,18 @@
         """How old the newest evidence for the list is; infinite where there is none."""
         return now - self._lease.evidence_at
 
+    @property
+    def is_moving(self) -> bool:
+        """Whether discovery has another address, which has not answered yet."""
+        return self._lease.is_moving
+
     @property
     def resumable(self) -> LeaseState | None:
         """The lease that a next process may go on with; None where only an answer would bring it back. What
         an agent has counts from a process's first moment, so there is none at an agent.
         """
         lease = self._lease
-        if self.bounds.pushed or lease.evidence_at == -inf or lease.lacks_answer or lease.is_moving:
+        if self.bounds.pushed or lease.evidence_at == -inf or lease.lacks_answer:
             return None
         return LeaseState(lease.evidence_at, self._since_answer.down)
 
@@ -118,6 +123,8 @@
         if self.bounds.pushed:
             return
         self._lease.confirm(lease.evidence_at)
+        if lease.moved:
+            self._lease.moved(lease.evidence_at)
         self._since_answer.down = lease.down
 
     def lease_ended(self, now: float) -> LeaseEnd | None:
