--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -124,11 +124,6 @@
         """Whether an answer was lost that no newer one has made good."""
         return self._lost is not None
 
-    @property
-    def is_moving(self) -> bool:
-        """Whether the source has another address, which has not answered yet."""
-        return self._moved_at is not None
-
     @property
     def renewed_by(self) -> float:
         """By when further evidence has to come; -inf where there has been none."""
--- a/mountgauge/lab/soak/launcher.py
+++ b/mountgauge/lab/soak/launcher.py
@@ -20,7 +20,6 @@
 from mountgauge.lab.faults.system_calls import Faults, FaultyCalls, FaultyLoop
 from mountgauge.lab.soak.mutants import MUTANTS
 from mountgauge.lab.soak.plan import FILE, Plan, ProcessFault
-from mountgauge.platform import lease_file
 from mountgauge.run import handover
 
 LOOK_EVERY_S = 0.05  # for the plan, until it is there
@@ -40,7 +39,7 @@
         """Put the seams in the places of the system's calls."""
         wall = durable_time.SystemClocks.wall
         setattr(durable_time.SystemClocks, "wall", lambda clocks: wall(clocks) + self.ahead_s)  # noqa: B010
-        for module in (journal, handover, lease_file):
+        for module in (journal, handover):
             setattr(module, "SystemFiles", lambda: self.files)  # noqa: B010
         setattr(registry, "SystemCalls", lambda: FaultyCalls(self.clients))  # noqa: B010
         asyncio.set_event_loop_policy(_Policy(self))
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -20,7 +20,6 @@
 from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.call_log import CallEvent, CallLog
-from mountgauge.platform.lease_file import LeaseFile
 from mountgauge.platform.list_call import DroppedCall, DropReason, Failure, ListCall
 from mountgauge.platform.list_exchange import ListExchange
 from mountgauge.platform.watch import DiscoveryWatch
@@ -50,12 +49,9 @@
         bounds: WatchBounds,
         rng: Random | None = None,
         evidence: ListEvidence | None = None,
-        lease_file: LeaseFile | None = None,
     ) -> None:
-        """`evidence`: of the run-time check, which hears what becomes of the calls; `lease_file`: in which
-        the lease on the list outlives the process.
-        """
-        self._evidence, self._lease_file = evidence, lease_file
+        """`evidence`: of the run-time check, which hears what becomes of the calls."""
+        self._evidence = evidence
         self._owner, self._address, self._names = owner, address, names
         self._watch = DiscoveryWatch(bounds, rng or Random())
         self._exchanges: dict[ListCall, ListExchange] = {}
@@ -74,19 +70,6 @@
             self._watch.stop(self._now())
         self._step()
 
-    def resume(self, known_version: int) -> None:
-        """Go on with the lease of the process before, by the list of this version."""
-        if self._lease_file is None:
-            return
-        lease = self._lease_file.resume(self._address, known_version, self._watch.bounds.known_within_s)
-        if lease is None:
-            return
-        self._watch.resume(lease)
-        if self._evidence is not None:
-            self._evidence.resumed(lease.evidence_at, lease.down)
-        age_s = round(self._now() - lease.evidence_at, 3)
-        log.info("list-lease-resumed", extra=kv(age_s=age_s, down=lease.down))
-
     def snapshot(self) -> None:
         """Ask for the whole list now: a watch that is out may wait long for news."""
         self._watch.ask_whole(self._now())
@@ -264,9 +247,6 @@
             kept = self._take_kept()
             self._calls.made(call, kept is not None)
             exchange.begin(kept)
-        # In a move what stands there is of the old address, and stays.
-        if self._lease_file is not None and (not self._watch.is_moving or self._watch.resumable is None):
-            self._lease_file.keep(self._watch.resumable, self._address, self._owner.version)
         self._wake_in_time()
 
     def _close(self, dropped: DroppedCall, now: float) -> None:
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -25,7 +25,6 @@
 from random import Random
 
 from mountgauge.core.list_lease import LeaseEnd, ListLease, Loss
-from mountgauge.platform.kept_lease import LeaseState
 from mountgauge.platform.list_call import (
     DroppedCall,
     DropReason,
@@ -103,30 +102,6 @@
         """How old the newest evidence for the list is; infinite where there is none."""
         return now - self._lease.evidence_at
 
-    @property
-    def is_moving(self) -> bool:
-        """Whether discovery has another address, which has not answered yet."""
-        return self._lease.is_moving
-
-    @property
-    def resumable(self) -> LeaseState | None:
-        """The lease that a next process may go on with; None where only an answer would bring it back. What
-        an agent has counts from a process's first moment, so there is none at an agent.
-        """
-        lease = self._lease
-        if self.bounds.pushed or lease.evidence_at == -inf or lease.lacks_answer:
-            return None
-        return LeaseState(lease.evidence_at, self._since_answer.down)
-
-    def resume(self, lease: LeaseState) -> None:
-        """Go on with the lease of the process before, up to its end."""
-        if self.bounds.pushed:
-            return
-        self._lease.confirm(lease.evidence_at)
-        if lease.moved:
-            self._lease.moved(lease.evidence_at)
-        self._since_answer.down = lease.down
-
     def lease_ended(self, now: float) -> LeaseEnd | None:
         """Why nothing may be sent by the list now; None: it may."""
         return self._lease.ended(now)
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -15,10 +15,9 @@
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
 from mountgauge.platform.discovery import TransportMap
-from mountgauge.platform.lease_file import LeaseFile
 from mountgauge.platform.watch_bounds import WatchBounds
 from mountgauge.router import Router
-from mountgauge.run.base import LoopClock, Runtime, socket_shares
+from mountgauge.run.base import Runtime, socket_shares
 from rillspindle.list_evidence import ListEvidence
 
 log = logging.getLogger("mountgauge.run")
@@ -41,15 +40,7 @@
         random = Random(config.seed)
         self._evidence = self.sender.monitor.evidence = ListEvidence(rules)
         bounds = WatchBounds.of(rules)
-        self.discovery = TransportMap(
-            self.sender,
-            config.discovery,
-            names,
-            bounds,
-            random,
-            self._evidence,
-            LeaseFile(config.state, LoopClock()),
-        )
+        self.discovery = TransportMap(self.sender, config.discovery, names, bounds, random, self._evidence)
         self._recheck: asyncio.TimerHandle | None = None
         self.sender.list_lease = self._lease_ended
         self.sender.admission.cut_off = self.discovery.cut_off
@@ -63,7 +54,6 @@
         self.listeners.append((self.front, config.listen))
         self.add_console(self.front)
         self.connect()
-        self.discovery.resume(config.known.version)
 
     def _lease_ended(self, dest: int) -> LeaseEnd | None:
         """Why no call may go by the list; calls that wait are tried again soon."""
--- a/rillspindle/list_evidence.py
+++ b/rillspindle/list_evidence.py
@@ -72,11 +72,6 @@
         """Other settings from now on."""
         self._settings = settings
 
-    def resumed(self, known_at: float, down: bool) -> None:
-        """An earlier process of this sender had known all up to then; `down`: a watch of it was ended."""
-        if self._settings.subscribe:
-            self._newest, self._down = max(self._newest, known_at), down
-
     def answered(self, call: AnsweredCall) -> None:
         """A call has been answered."""
         self._newest = max(self._newest, call.known_at)
