--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -155,6 +155,13 @@
         self._evidence_at = max(self._evidence_at, asked_at)
         self._make_good(asked_at, Loss.POSSIBLE)
 
+    def refused_at_start(self) -> None:
+        """A call was refused in words, and no evidence has come since the process began: the list that it was
+        started with counts as of then, and no longer, however often that comes.
+        """
+        if self._evidence_at == -inf:
+            self.unreachable(self._begun_at)
+
     # What ends it early
 
     def lose(self, kind: Loss, now: float) -> None:
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -66,6 +66,8 @@
         """Follow the list from now on, or no longer."""
         if on:
             self._watch.start(self._now())
+            if self._evidence is not None:
+                self._evidence.began(self._now())
         else:
             self._watch.stop(self._now())
         self._step()
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -302,6 +302,8 @@
         if call.address == self._address and self._shows_an_outage(failure):
             counts_from = self._refusal_counts_from(call, failure, now)
             self._lease.unreachable(counts_from, lasting=self._since_answer.down)
+        elif failure is Failure.BUSY and not self.bounds.pushed:
+            self._lease.refused_at_start()
         return False
 
     def _was_out(self, call: ListCall, now: float) -> bool:
--- a/rillspindle/list_evidence.py
+++ b/rillspindle/list_evidence.py
@@ -67,6 +67,12 @@
         self._newest = -math.inf
         self._lost_at = math.inf
         self._down = False  # a watch was ended, and each call since refused
+        self._began_at: float | None = None
+
+    def began(self, at: float) -> None:
+        """The process begins to ask for lists."""
+        if self._began_at is None:
+            self._began_at = at
 
     def retune(self, settings: Settings) -> None:
         """Other settings from now on."""
@@ -86,11 +92,16 @@
 
     def refused(self, call: RefusedCall) -> None:
         """Discovery has ended a call. That it could not be reached is shown by a watch that was ended, and
-        by each refusal behind it; a 503 alone may come from one that has too many calls.
+        by each refusal behind it; a 503 alone may come from one that has too many calls. It leaves a new
+        process the list that it was started with, as of then.
         """
         self._down = self._down or call.was_out
-        if self._settings.subscribe and (self._down or not call.in_words):
+        if not self._settings.subscribe:
+            return
+        if self._down or not call.in_words:
             self._newest = max(self._newest, call.known_at)
+        elif self._began_at is not None:
+            self._newest = max(self._newest, self._began_at)
 
     def unanswered(self) -> None:
         """A call has not been answered in time: discovery, if it was down, may be back."""
--- a/tests/crossings/test_refused_discovery.py
+++ b/tests/crossings/test_refused_discovery.py
@@ -15,6 +15,7 @@
 from tests.helper import run, until
 
 WATCHED_S = 6.0  # past the due time, in which calls to the one that left are looked for
+DOWN_S = 3.0  # between a process and the next one
 SILENT, REFUSE, RESET, ANSWER = "silent", "refuse", "reset", "answer"
 
 
@@ -84,6 +85,25 @@
     return found
 
 
+def test_a_change_from_before_the_start_of_a_process_that_is_refused_is_heeded(tmp_path: Path) -> None:
+    """The list that it is started with may be older than it."""
+
+    async def main() -> None:
+        async with World(tmp_path, [], senders=12) as world:
+            world.process.kill()
+            await world.process.wait()
+            world.list.leaves(1)
+            due = world.now() + NOTIFIED_S + GRACE_S
+            world.list.script[:] = [REFUSE] * 100
+            await asyncio.sleep(DOWN_S)
+            world.process = await world.launch()
+            await asyncio.sleep(due + DOWN_S - world.now())
+            late = [round(at - due, 2) for at in world.taken["leaver"] if at > due]
+            assert not late, f"{len(late)} calls, up to {late[-1]} s late"
+
+    run(main(), 40)
+
+
 async def none_late(scenes: list[Scene], folder: Path) -> None:
     found = await asyncio.gather(*(late_calls(one, folder / str(place)) for place, one in enumerate(scenes)))
     late = [line for lines in found for line in lines]
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -453,6 +453,20 @@
     assert renewed is (between == "refused")
 
 
+def test_a_new_process_that_is_refused_in_words_goes_by_its_list_for_the_rules_time_from_its_start() -> None:
+    driven = Driven(heard=False)
+    began_at = driven.now
+    assert driven.held_back()
+    for _ in range(3):
+        call = driven.asked()
+        driven.now += 0.1
+        driven.watch.failed(call, Failure.BUSY, driven.now)
+        assert not driven.held_back(began_at + TERM_S - FAIR) and driven.held_back(began_at + TERM_S + FAIR)
+    agent = Driven(subscribe=False, heard=False)
+    agent.watch.failed(agent.asked(), Failure.BUSY, agent.now)
+    assert agent.held_back()
+
+
 @pytest.mark.parametrize("lasting", [False, True])
 def test_in_an_outage_that_began_while_it_held_a_lease_that_has_run_out_comes_back(lasting: bool) -> None:
     """What changes in it counts anew from discovery's return, whenever the next call has been refused."""
--- a/tests/test_list_evidence.py
+++ b/tests/test_list_evidence.py
@@ -92,6 +92,15 @@
     assert (evidence.sends_until() > before) is renewed
 
 
+def test_a_new_process_that_is_refused_in_words_has_its_list_as_of_its_start() -> None:
+    evidence = ListEvidence(rules())
+    evidence.began(10.0)
+    assert evidence.sends_until() < 0
+    for at in (10.1, 12.0, 17.0):
+        evidence.refused(RefusedCall(at, 0.001, at + 0.1, in_words=True))
+        assert evidence.sends_until() == pytest.approx(10.0 + NOTIFIED_S + SPARE_S)
+
+
 def test_no_refusal_of_an_agent_is_evidence() -> None:
     evidence = ListEvidence(rules(mode="automatic"))
     evidence.answered(answered(10.0))
