Draw pauses of the process in the property, in which an agent's list lies unread

Cause: each answer was read as it came there, so the gap behind a list that lay unread was never drawn; and the reference excused any change before a lost call, however long the agent had been without one.

Change: the sender stands still for 0.2 to 1.2 s, reads what came first and does all else behind it; in one draw of two the call behind it is lost. A mutant that counts the gap from the reading.

--- a/tests/platform/mutants.py
+++ b/tests/platform/mutants.py
@@ -61,6 +61,13 @@
         return failure in (Failure.REFUSED, Failure.BUSY)
 
 
+class ReadTakenForWritten(DiscoveryWatch):
+    """The gap behind an agent's answer is counted from when it is read."""
+
+    def _note_coverage(self, call: ListCall, written_after: float, now: float) -> None:
+        super()._note_coverage(call, now, now)
+
+
 class GivenUpForTheNext(DiscoveryWatch):
     """A call that has got no answer in time is closed when the next one is made."""
 
@@ -109,6 +116,7 @@
 MUTANTS = {
     "silence is believed": Parts(watch=SilenceBelieved),
     "a refusal in words renews": Parts(watch=RefusalInWordsRenews),
+    "read is taken for written": Parts(watch=ReadTakenForWritten),
     "back-off and spread doubled": Parts(bounds=DoubledBackOff),
     "long poll after a silence": Parts(watch=LongPollAfterSilence),
     "an answer dropped": Parts(table=AnswerDropped),
--- a/tests/platform/reference.py
+++ b/tests/platform/reference.py
@@ -17,9 +17,9 @@
 - With no watch open, `askWithin` holds until a call is made: what that one misses has the clause on silence,
   and so has what was made before it, after the answer that it follows.
 - Where lists are pushed, a change counts at once, or at the return of an agent that held its calls; where
-  the call that is out, or the next one if none is, has failed or is silent, by the other clauses ("one clock
-  for silence, whether lists are pushed or asked for"). An agent that is slow has its change as it writes it:
-  a sender could keep an earlier moment only by never sending.
+  the call that is out, or the next one if none is and it comes within 200 ms of the last answer, has failed
+  or is silent, by the other clauses ("one clock for silence, whether lists are pushed or asked for"). A slow
+  agent has its change as it writes it: a sender could keep an earlier moment only by never sending.
 - An endpoint that has come back is no longer draining, whether or not the sender knows.
 """
 
@@ -113,7 +113,20 @@
     ask_within_s: float
 
 
-Event = Change | Outage | Loss | Spoil | Move | Reload
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """The sender's process stands still for so long: what comes meanwhile lies unread."""
+
+    at: float
+    for_s: float
+
+    @property
+    def until(self) -> float:
+        """When it goes on."""
+        return self.at + self.for_s
+
+
+Event = Change | Outage | Loss | Spoil | Move | Reload | Pause
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +151,11 @@
         """The outages, in order; they do not overlap."""
         return [event for event in self.events if isinstance(event, Outage)]
 
+    @property
+    def pauses(self) -> list[Pause]:
+        """The times in which the sender stands still, in order."""
+        return [event for event in self.events if isinstance(event, Pause)]
+
     @property
     def moves(self) -> list[float]:
         """When discovery moved."""
@@ -248,12 +266,19 @@
         return before[-1].made_at if before and not _before(before[-1].written_at, at) else at
 
     def _lost(self, at: float) -> bool:
-        """Whether the newest call has failed or fallen silent, or was answered and the next one is lost."""
+        """Whether the newest call has failed or fallen silent, or was answered and the next one, which goes
+        on with the same watch, is lost.
+        """
         before = [call for call in self._record.calls if call.made_at <= at]
         if before and not _before(before[-1].written_at, at):
             return _before(before[-1].silent_from, at) or _before(before[-1].failed_at, at)
+        answered_at = max((answer.at for answer in self._record.written if answer.at <= at), default=-inf)
         after = self._record.calls[len(before) : len(before) + 1]
-        return any(call.silent_from is not None or call.failed_at is not None for call in after)
+        return any(
+            call.made_at <= answered_at + WATCH_GAP_S
+            and (call.silent_from is not None or call.failed_at is not None)
+            for call in after
+        )
 
     def _silence(self, made_at: float) -> float:
         found = [self._missed_by(call, made_at) for call in self._record.calls]
--- a/tests/platform/simulation.py
+++ b/tests/platform/simulation.py
@@ -49,6 +49,7 @@
 DRAIN_GRACE_S = 0.25
 TRAVEL_S = 0.003  # one way between the sender and discovery
 SERVICE_S = 0.002  # that discovery takes for an answer
+READ_FIRST_S = 1e-6  # behind what lies unread, all else that is due as a process goes on
 LOOK_S = 0.01  # between two tries to send to each endpoint
 STAYS = "stays"  # an endpoint that is always ready
 TURNING_AWAY = (Trouble.DOWN, Trouble.CROWDED, Trouble.CROWDED_OR_SILENT)  # new calls, by 503
@@ -307,6 +308,8 @@
         self._looked_at = -float("inf")
 
     def start(self) -> None:
+        if self._waits(self.start, READ_FIRST_S):
+            return
         self.watch.start(self._time.now())
         self.step()
 
@@ -326,11 +329,22 @@
             self._time.call_at(at, lambda: self._wake(at))
 
     def _wake(self, at: float) -> None:
-        if at == self._woken_at:
+        if at == self._woken_at and not self._waits(lambda: self._wake(at), READ_FIRST_S):
             self.step()
 
+    def _waits(self, then: Callable[[], None], behind_s: float = 0.0) -> bool:
+        """Whether the process stands still now: it does this once it goes on, behind what it has to read."""
+        now = self._time.now()
+        pause = next((one for one in self._schedule.pauses if one.at <= now < one.until), None)
+        if pause is None:
+            return False
+        self._time.call_at(pause.until + behind_s, then)
+        return True
+
     def read(self, exchange: Exchange, update: MapUpdate | None) -> None:
         """An answer has come; None for one that is spoilt."""
+        if self._waits(lambda: self.read(exchange, update)):
+            return
         if update is None:
             self.failed(exchange, Failure.SPOILT)
         elif self._exchanges.pop(exchange.call, None) is not None:
@@ -343,22 +357,30 @@
 
     def failed(self, exchange: Exchange, failure: Failure) -> None:
         """A call has ended without a whole answer."""
+        if self._waits(lambda: self.failed(exchange, failure)):
+            return
         if self._exchanges.pop(exchange.call, None) is not None:
             self.watch.failed(exchange.call, failure, self._time.now())
             self.step()
 
     def move(self) -> None:
+        if self._waits(self.move, READ_FIRST_S):
+            return
         self.watch.move(self._time.now())
         self.watch.start(self._time.now())
         self.step()
 
     def reload(self, reload: Reload) -> None:
+        if self._waits(lambda: self.reload(reload), READ_FIRST_S):
+            return
         rules = rules_of(self._schedule, reload.ask_within_s)
         self.watch.retune(self._parts.bounds.of(rules), self._time.now())
         self.step()
 
     def try_all(self) -> None:
         """Choose a call for each endpoint that is ready as far as is known."""
+        if any(one.at <= self._time.now() < one.until for one in self._schedule.pauses):
+            return
         self._looked_at = self._time.now()  # no answer waits to be read: each is read as it arrives
         for hop in self.table.hops.values():
             if hop.entry.readiness == Readiness.READY:
@@ -367,6 +389,8 @@
 
     def _look(self, hop: NextHop) -> None:
         """The last look before the first byte, and the byte."""
+        if self._waits(lambda: self._look(hop), READ_FIRST_S):
+            return
         now = self._time.now()
         item = Item(self._message.number, 0, "m", "k", "note", b"", 1e9)
         if self.attempts.admit(Call(hop, [item], now, 1e9), [item]):
--- a/tests/platform/test_drain_property.py
+++ b/tests/platform/test_drain_property.py
@@ -16,6 +16,7 @@
     Loss,
     Move,
     Outage,
+    Pause,
     Reference,
     Reload,
     Schedule,
@@ -47,6 +48,8 @@
     for event in schedule.events:
         if isinstance(event, Outage):
             troubled.append((event.at, event.until + event.delay_s + RECOVERED_S))
+        elif isinstance(event, Pause):
+            troubled.append((event.at, event.until + RECOVERED_S))
         elif isinstance(event, Loss):
             troubled.append((event.at, event.at + (2 * event.calls + 1) * RECOVERED_S))
         elif not isinstance(event, Change):
@@ -81,7 +84,11 @@
 @st.composite
 def faults(draw: st.DrawFn, at: float, slowest_s: float) -> list[Event]:
     """A fault at this time, or none."""
-    kind = draw(st.sampled_from(["none", *Trouble, "loss", "losses", "spoil", "move", "moved", "reload"]))
+    kind = draw(
+        st.sampled_from(
+            ["none", *Trouble, "loss", "losses", "spoil", "move", "moved", "reload", "pause", "paused"]
+        )
+    )
     if isinstance(kind, Trouble):
         lasts = draw(st.sampled_from((0.3, 1.0, 2.5, 8.0, 20.0)))
         slow = slowest_s * draw(st.sampled_from((0.3, 1.0, 2.2, 15.0))) if kind is Trouble.SLOW else 0.0
@@ -100,6 +107,10 @@
             lasts = draw(st.sampled_from((0.5, 2.0, 3.4)))
             slow = slowest_s if trouble is Trouble.SLOW else 0.0
             return [Move(at), Outage(at + 0.001, at + lasts, trouble, slow)]
+        case "pause":
+            return [Pause(at, draw(st.sampled_from((0.2, 0.5, 1.2))))]
+        case "paused":  # and the call behind it is lost
+            return [Pause(at, 0.6), Loss(at + 0.3)]
         case "reload":
             return [Reload(at, draw(st.sampled_from(ASK_WITHIN_S)))]
     return []
--- a/tests/platform/test_mutants.py
+++ b/tests/platform/test_mutants.py
@@ -13,6 +13,7 @@
     Loss,
     Move,
     Outage,
+    Pause,
     Schedule,
     Spoil,
     State,
@@ -51,6 +52,9 @@
     "a refusal in words renews": schedule(
         Outage(0.5, 20.0, Trouble.CROWDED), Change(0.6, "b", State.LEAVING), leaves(1.0)
     ),
+    "read is taken for written": schedule(
+        Change(1.0, "b", State.LEAVING), Pause(1.001, 0.6), Loss(1.1), leaves(1.3), pushed=True
+    ),
     "silence is believed": schedule(Outage(0.5, 20.0, Trouble.SILENT), leaves(1.0), balancers=40),
     "long poll after a silence": schedule(Loss(0.52, 2), leaves(1.012), ask_within_s=4.0),
     "an answer dropped": schedule(Change(0.5, "b", State.LEAVING), leaves(1.0), Change(2.0, "b", State.LEFT)),
@@ -67,10 +71,11 @@
 
 BREAK_THE_RULE = {
     "silence is believed", "a refusal in words renews", "an answer dropped", "no recheck in admit",
+    "read is taken for written",
     "a rest within the watch", "a back-off after a spoilt answer",
 }  # fmt: skip
 # Nothing shows that the list is the newest while these last: the program holds calls back.
-WITHOUT_EVIDENCE = {"silence is believed", "a refusal in words renews"}
+WITHOUT_EVIDENCE = {"silence is believed", "a refusal in words renews", "read is taken for written"}
 
 
 @pytest.mark.parametrize("name", MUTANTS)
