Send changes beyond a missing range in a repair, so that survivors agree and calls end

Callers saw: a sender that shares tenants' counts stood still for good: no answer, no delivery, no notice. Cause: a delta beyond a missing range is merged while the version stays, so two replicas of a dead member differ at one version. The repair sent only changes up to that version; at version 0 that is an empty span, chosen again without end (deltas.py, _repair_span and the loop of batches). Change: a repair sends all changes that are held; those beyond the gap do not extend the range that the delta covers. Each step of a batch makes progress or ends it. Replicas are saved with such changes; an owner that lacks one starts a new incarnation.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	.venv-dev/bin/mypy
 
 # Tests that only compute, beside those that wait for sockets and clocks.
-PURE = tests/tenants/test_fleet.py tests/tenants/test_model.py tests/tenants/test_counts.py \
+PURE = tests/tenants/test_dead_member.py tests/tenants/test_fleet.py tests/tenants/test_model.py tests/tenants/test_counts.py \
   tests/tenants/test_quota.py tests/tenants/test_wire.py tests/tenants/test_recovery.py tests/budgets/test_pure.py \
   tests/budgets/test_fleet.py tests/test_rules.py tests/test_send_guard.py tests/test_list_changes.py tests/sharding/test_network.py \
   tests/sharding/test_placement.py tests/sharding/test_store.py tests/sharding/test_owners.py \
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -149,7 +149,7 @@
 
 
 def _lines(counts: Counts, life: Incarnation) -> list[Entry]:
-    return counts.delta(life, 0, 1 << 40)[1]
+    return counts.all_changes(life)
 
 
 class World:
--- a/mountgauge/tenants/counts.py
+++ b/mountgauge/tenants/counts.py
@@ -29,6 +29,7 @@
 MAX_FOLDED = 8192
 _MAX_RECENT_CHANGES = 2048  # of an incarnation; they are found without a scan of all its tenants
 _MAX_RANGES_AFTER_GAP = 64  # of versions of an incarnation
+_UNLIMITED_BYTES = 1 << 40
 _CHECKSUM_MASK = (1 << 63) - 1
 
 
@@ -72,6 +73,12 @@
     def mark(self) -> Mark:
         return Mark(self.version, self.check)
 
+    @property
+    def newest_version(self) -> int:
+        """The highest version held, also of changes beyond a missing range."""
+        recorded = self.recent_changes[-1][0] if self.recent_changes else self.recent_floor
+        return max(self.version, recorded)
+
     @property
     def used(self) -> int:
         return sum(self.count)
@@ -214,10 +221,11 @@
     ) -> tuple[int, list[Entry]]:
         """The changes of an incarnation after a version that fit into `max_bytes`, and their last version.
 
-        Changes beyond version `last`, if given, are left out.
+        Changes beyond version `last` are left out; by default those beyond a missing range. A `last` above
+        the incarnation's version adds those: they are not all changes up to it.
         """
         found: list[Entry] = []
-        upto = incarnation.version if last is None else min(last, incarnation.version)
+        upto = incarnation.version if last is None else last
         for index in incarnation.changed_since(after):
             if incarnation.versions[index] > upto:
                 break
@@ -234,6 +242,10 @@
             found.append(entry)
         return upto, found
 
+    def all_changes(self, incarnation: Incarnation) -> list[Entry]:
+        """All changes of an incarnation that are held, also those beyond a missing range."""
+        return self.delta(incarnation, 0, _UNLIMITED_BYTES, incarnation.newest_version)[1]
+
     def set_own(self, id: int, name: str) -> Incarnation:
         """Add to another incarnation from now on; the old one stays as it is."""
         incarnation = self.incarnation(id, name)
--- a/mountgauge/tenants/gossip/deltas.py
+++ b/mountgauge/tenants/gossip/deltas.py
@@ -15,10 +15,20 @@
 
 DIGEST_BYTES_WITH_DELTAS = 120  # enough for the digests of the sender and the receiver
 _OVERHEAD_BYTES = 240  # of a datagram, without digests and deltas
+_DELTA_CAPACITY_BYTES = MAX_DATAGRAM_BYTES - DIGEST_BYTES_WITH_DELTAS - _OVERHEAD_BYTES
+_DELTA_HEADER_BYTES = 24  # of a delta, without the name and the entries
 _MAX_SPANS_IN_FLIGHT = 32  # of one incarnation to one contact
 _NEVER = -1e9  # s: the time of sending of a span that is to be sent at once
 
 
+def _delta(incarnation: Incarnation, after: int, upto: int, entries: list[Entry]) -> Delta:
+    """A delta with these entries. Those beyond a missing range do not extend the range that it covers."""
+    lines: list[Line] = [(e.key, e.accepted, e.version, e.demand) for e in entries]
+    contiguous = incarnation.version
+    name = incarnation.name or "?"
+    return Delta(incarnation.id, name, min(after, contiguous), min(upto, contiguous), lines)
+
+
 class Deltas:
     """Chooses the changes for each contact and merges the changes received."""
 
@@ -34,32 +44,52 @@
 
         Each batch fills one datagram; the caller sends it before it asks for the next one.
         """
-        state = self._state
-        sent = 0
+        counts = self._state.counts
+        queue = [found for one in incarnations if (found := counts.incarnations.get(one)) is not None]
+        for _ in range(max_batches):
+            if self._state.datagram_allowance <= 0:
+                return
+            deltas = self._next_batch(contact, queue, now)
+            if not deltas:
+                return
+            yield deltas
+
+    def _next_batch(self, contact: Contact, queue: list[Incarnation], now: float) -> list[Delta]:
+        """The deltas of one datagram. Incarnations of which nothing is left to send leave the queue.
+
+        Each step adds a delta, which takes capacity, shortens the queue or ends the batch.
+        """
         deltas: list[Delta] = []
-        left = capacity = MAX_DATAGRAM_BYTES - DIGEST_BYTES_WITH_DELTAS - _OVERHEAD_BYTES
-        queue = [found for one in incarnations if (found := state.counts.incarnations.get(one)) is not None]
-        while queue and sent < max_batches and state.datagram_allowance > 0:
+        left = _DELTA_CAPACITY_BYTES
+        while queue:
             incarnation = queue[0]
+            left -= _DELTA_HEADER_BYTES + len(incarnation.name.encode())
+            if left < 0:
+                break
             span = self._next_span(contact, incarnation, now)
             if span is None:
+                left += _DELTA_HEADER_BYTES + len(incarnation.name.encode())
                 queue.pop(0)
                 continue
-            left -= 24 + len(incarnation.name.encode())
-            upto, entries = state.counts.delta(incarnation, span.after, max(0, left), span.upto)
-            if upto > span.after:
-                lines: list[Line] = [(e.key, e.accepted, e.version, e.demand) for e in entries]
-                deltas.append(Delta(incarnation.id, incarnation.name or "?", span.after, upto, lines))
-                left -= sum(map(max_entry_bytes, entries))
-                self._record_in_flight(contact, incarnation, span, upto, now)
-            elif incarnation.id in contact.in_flight:  # this datagram has no capacity left
-                contact.in_flight[incarnation.id].append(Span(span.after, span.upto, _NEVER))
+            upto, entries = self._state.counts.delta(incarnation, span.after, left, span.upto)
+            if upto <= span.after:  # no entry fits
+                self._put_back(contact, incarnation, span)
+                if not deltas:
+                    queue.pop(0)
+                    continue
+                break
+            deltas.append(_delta(incarnation, span.after, upto, entries))
+            left -= sum(map(max_entry_bytes, entries))
+            self._record_in_flight(contact, incarnation, span, upto, now)
             if upto < span.upto:  # the datagram is full
-                yield deltas
-                sent += 1
-                deltas, left = [], capacity
-        if deltas and sent < max_batches:
-            yield deltas
+                break
+        return deltas
+
+    @staticmethod
+    def _put_back(contact: Contact, incarnation: Incarnation, span: Span) -> None:
+        """Send a span with the next datagram; a repair starts at the same version again by itself."""
+        if incarnation.id in contact.in_flight:
+            contact.in_flight[incarnation.id].append(Span(span.after, span.upto, _NEVER))
 
     def _next_span(self, contact: Contact, incarnation: Incarnation, now: float) -> Span | None:
         """The span to send next to the contact: one that was probably lost, or new changes."""
@@ -83,8 +113,9 @@
     ) -> Span | None:
         """The span to send next to a contact with the same version and another checksum.
 
-        Some change below that version is missing there, and it is not known which one: all are sent again,
-        span by span.
+        It is not known which change is missing there: all that are held here are sent again, span by span,
+        also those beyond a missing range. If the owner of the incarnation has ended, no other member may hold
+        these, and without them the members would differ forever.
         """
         if mark.check == incarnation.check or mark.version > incarnation.version:
             contact.in_flight.pop(incarnation.id, None)
@@ -92,9 +123,10 @@
         upto, at = contact.repairs.get(incarnation.id, (0, _NEVER))
         if now - contact.mismatches.get(incarnation.id, (mark, now))[1] < 2 * self._state.propagation_time:
             return None  # the missing change is most often still in flight
-        if upto >= incarnation.version and now - at < resend_after:
+        newest = incarnation.newest_version
+        if not newest or (upto >= newest and now - at < resend_after):
             return None
-        return Span(upto if upto < incarnation.version else 0, incarnation.version, now)
+        return Span(upto if upto < newest else 0, newest, now)
 
     def _record_in_flight(
         self, contact: Contact, incarnation: Incarnation, span: Span, upto: int, now: float
@@ -127,7 +159,8 @@
         """Merge the changes of a datagram."""
         state = self._state
         for delta in deltas:
-            if delta.life == state.me.incarnation and delta.upto > state.counts.own.version:
+            newest = max((delta.upto, *(version for _, _, version, _ in delta.lines)))
+            if delta.life == state.me.incarnation and newest > state.counts.own.version:
                 state.request_new_incarnation("peers hold more counts than the file", outdated=True)
             entries = [Entry(*line) for line in delta.lines]
             state.counts.join(delta.life, delta.name, delta.after, delta.upto, entries)
--- a/mountgauge/tenants/store.py
+++ b/mountgauge/tenants/store.py
@@ -167,7 +167,7 @@
                 )
                 self._db.executemany(
                     "insert or replace into counted values (?, ?, ?, ?, ?)",
-                    [(incarnation.id, *e) for e in counts.delta(incarnation, 0, 1 << 40)[1]],
+                    [(incarnation.id, *e) for e in counts.all_changes(incarnation)],
                 )
             for table in ("past", "folded", "past_name"):
                 self._db.execute(f"delete from {table}")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,8 +23,8 @@
     "tests/lab/test_soak.py": "soak",
 }
 _PURE = (
-    "tests/tenants/test_fleet", "tests/tenants/test_model", "tests/tenants/test_counts",
-    "tests/tenants/test_recovery",
+    "tests/tenants/test_dead_member", "tests/tenants/test_fleet", "tests/tenants/test_model",
+    "tests/tenants/test_counts", "tests/tenants/test_recovery",
     "tests/tenants/test_quota", "tests/tenants/test_wire", "tests/test_rules", "tests/test_fleet_growth",
     "tests/test_wire", "tests/lab/test_pure", "tests/lab/test_notified",
     "tests/recovery/test_pure", "tests/recovery/test_module",
