Report counts as exact only once the peers hold the same checksum of a dead member

Callers saw: 'exact' true in mountgauge tenants while another survivor held more counts of a member that had died. Change: the marks have to be equal, version and checksum.

--- a/mountgauge/tenants/gossip/membership.py
+++ b/mountgauge/tenants/gossip/membership.py
@@ -257,8 +257,9 @@
         if contact is None or contact.reported_at.get(member.id, -1.0) < since:
             if incarnation is not None and (contact is None or member.id not in contact.tombs):
                 return f"{other.name} has not reported on an ended incarnation of {member.name}"
-        elif incarnation is not None and contact.marks[member.id].version > incarnation.version:
-            return f"{other.name} holds more counts of an ended incarnation of {member.name}"
+        elif incarnation is not None and contact.marks[member.id] != incarnation.mark:
+            # At the same version or a lower one it may still hold changes beyond a missing range.
+            return f"{other.name} holds other counts of an ended incarnation of {member.name}"
         return ""
 
     def age(self, member: Member, now: float) -> float:
--- a/tests/tenants/test_dead_member.py
+++ b/tests/tenants/test_dead_member.py
@@ -112,8 +112,22 @@
     assert here.new_incarnation_reason
 
 
-def _contact() -> Contact:
+def test_counts_are_not_complete_while_a_peer_holds_others_of_a_dead_member_at_the_same_version() -> None:
+    """Changes beyond a missing range show in the checksum alone."""
+    counts = _counts()
+    counts.join(OWNER, "owner", 0, 1, [Entry(5, 3, 1, 0)])
+    here = _member(counts)
+    here.members.observe(OWNER, "owner", 1, 1, True, 10.0)
+    here.members.observe(PEER, "peer", 1, 1, False, 59.0)
+    held = counts.incarnations[OWNER].mark
+    here.contacts[PEER] = peer = Contact(PEER, reported_at={OWNER: 59.0})
+    peer.marks[OWNER] = held
+    assert here.sync_gap(60.0) == ""
+    peer.marks[OWNER] = Mark(held.version, held.check + 7)
+    assert here.sync_gap(60.0) != ""
 
+
+def _contact() -> Contact:
     contact = Contact(HERE)
     contact.mismatches[HERE] = (Mark(0, 0), 0.0)
     return contact
