Keep the limit for unread answers when the last answer is filled in

Callers saw: a client that leaves answers unread was closed before the limit for that, or kept its connection until the idle limit. Cause: one timer for each connection; Connection._fill set it to the idle limits while the client was not reading (clients/connection.py, _arm_idle_deadline). Change: that function leaves the timer alone while answers are unread; resume_writing sets it. The property's model was wrong in two places. It counted 'half' from the last answer, where the settings' page says from the first byte on (the listed example: the code was right). It counted lateness from limits that had passed while another one applied. Corrected; the check of lateness now includes incomplete commands, and two examples are added, so it is no weaker.

--- a/mountgauge/clients/connection.py
+++ b/mountgauge/clients/connection.py
@@ -199,7 +199,12 @@
             self._clients.set_partial_bytes(self, 0)
 
     def _arm_idle_deadline(self) -> None:
-        """Set the deadline of a connection without open requests."""
+        """Set the deadline of a connection without open requests.
+
+        While answers are unread, the time limit for these applies instead.
+        """
+        if self._write_paused:
+            return
         times = self._clients.times
         limit = times.idle if self.command_received else times.handshake
         self._clients.registry.arm(self, min(self.since + limit, self._partial_since + times.half))
--- a/tests/connections/test_states.py
+++ b/tests/connections/test_states.py
@@ -56,6 +56,9 @@
 @settings(derandomize=True, deadline=None, max_examples=400)
 @given(STEPS)
 @example(steps=[("whole", 1), ("half", 1), ("pass", 22), ("answer", 1), ("pass", 8)])
+# The limit for unread answers was replaced by that for the incomplete command, and by that for idle time.
+@example(steps=[("whole", 1), ("half", 1), ("choke", 1), ("answer", 1), ("pass", 29), ("pass", 2)])
+@example(steps=[("whole", 1), ("choke", 1), ("pass", 21), ("answer", 1), ("pass", 27), ("pass", 14)])
 def test_a_connection_is_closed_only_and_soon_after_a_time_limit(steps: list[tuple[str, int]]) -> None:
     """The limits are those for the first command, for a complete command, idle time and unread answers."""
 
@@ -67,7 +70,7 @@
         connection.connection_made(transport)
         # `pending` are the remaining bytes of an incomplete command.
         command_received, pending, rested = False, b"", registry.at
-        begun, choked, answered = registry.at, 0.0, 0
+        begun, choked, resumed, answered = registry.at, 0.0, 0.0, 0
         for number, (step, pick) in enumerate(steps):
             readable = transport.reading and not transport.closing and not connection.closing
             if step == "whole" and readable and not pending:
@@ -92,18 +95,18 @@
                 choked = registry.at
                 connection.pause_writing()
             elif step == "flow" and choked:
-                choked = 0.0
+                choked, resumed = 0.0, registry.at
                 connection.resume_writing()
             elif step == "pass":
                 was = registry.at
                 registry.pass_time(pick / 10)
                 asked = answered < len(submitted)
-                # The limits that apply, and when they pass.
-                limits = []
+                # The limits that apply, and when they pass; also from when they have applied.
+                limits, applies_since = [], max(rested, resumed)
                 if choked:
                     limits.append(choked + TIMES.unread)
                 elif not asked and pending and command_received:
-                    limits.append(max(begun, rested if begun < rested else 0.0) + TIMES.half)
+                    limits.append(begun + TIMES.half)
                 elif not asked and not command_received:
                     limits.append(rested + TIMES.handshake)
                 elif not asked:
@@ -111,7 +114,7 @@
                 if connection.closing or transport.aborted:  # after a last answer, or at once
                     assert any(limit <= registry.at + 1e-9 for limit in limits), (limits, registry.at)
                     break
-                late = [registry.at - limit for limit in limits if not (pending and command_received)]
+                late = [registry.at - max(limit, applies_since) for limit in limits]
                 assert max(late, default=0.0) < LATE + (registry.at - was)
             idle = answered == len(submitted)
             assert connection.parked == (idle and not pending) or connection.closing
