Fail the tests of a batch of rigs at once if it ends by an exception

Cause of the silence: Rigs._play (tests/rigs.py) did not catch what a batch raised, so neither this batch nor the later ones were ever marked as done. Change: the exception fails each test of its batch at once, as BatchError with its cause; later batches are played.

--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -92,6 +92,10 @@
     return _MEMORY
 
 
+class BatchError(Exception):
+    """A batch of rigs ended by an exception, which is this one's cause."""
+
+
 class Rigs:
     """Runs batches of rigs one after another, each rig in its own process."""
 
@@ -99,6 +103,7 @@
         self._folder: tempfile.TemporaryDirectory[str] | None = None
         self._thread: threading.Thread | None = None
         self._done: dict[str, threading.Event] = {}
+        self._errors: dict[str, Exception] = {}  # by batch: what ended it early
         self.failed: list[str] = []
         self.starved: dict[str, list[float]] = {}  # by rig: its senders' waited share in each play
 
@@ -118,24 +123,33 @@
         if before is not None:
             before.join()
         for batch in batches:
-            if batch == "soak":
-                self._wait({"random": self._soak("random", 24, 16.0)})
-                self._wait({name: self._soak(name, 6, 14.0, dense=True) for name in SOAKED})
-            elif batch in _PLAYED:
-                names = list(_PLAYED[batch])
-                for begin in range(0, len(names), _CONCURRENT_RIGS):
-                    self._wait(
-                        {name: self._scene(batch, name) for name in names[begin : begin + _CONCURRENT_RIGS]}
-                    )
-                for name in names:
-                    self._play_again(batch, name)
-            else:
-                rigs = {}
-                for name in SENDERS:
-                    mutant = [] if name == "unchanged" else [*_MUTANTS, name]
-                    rigs[name] = self._rig(EVERY_RULE, name, 7.0, *mutant)
-                self._wait(rigs)
-            self._done[batch].set()
+            try:
+                self._play_batch(batch)
+            except Exception as error:  # the tests of this batch fail with it, and the next batch is played
+                self._errors[batch] = error
+            finally:
+                self._done[batch].set()
+
+    def _play_batch(self, batch: str) -> None:
+        if batch == "soak":
+            self._wait({"random": self._soak("random", 24, 16.0)})
+            self._wait({name: self._soak(name, 6, 14.0, dense=True) for name in SOAKED})
+        elif batch in _PLAYED:
+            self._play_scenes(batch)
+        else:
+            rigs = {}
+            for name in SENDERS:
+                mutant = [] if name == "unchanged" else [*_MUTANTS, name]
+                rigs[name] = self._rig(EVERY_RULE, name, 7.0, *mutant)
+            self._wait(rigs)
+
+    def _play_scenes(self, batch: str) -> None:
+        names = list(_PLAYED[batch])
+        for begin in range(0, len(names), _CONCURRENT_RIGS):
+            concurrent = names[begin : begin + _CONCURRENT_RIGS]
+            self._wait({name: self._scene(batch, name) for name in concurrent})
+        for name in names:
+            self._play_again(batch, name)
 
     def _play_again(self, batch: str, name: str) -> None:
         """Repeat a play alone while its senders are starved, whatever it served."""
@@ -190,9 +204,15 @@
         return Path(self._folder.name)
 
     def wait(self, batch: str) -> Path:
-        """Wait for the batch; returns the folder that holds the folders of its rigs."""
+        """Wait for the batch; returns the folder that holds the folders of its rigs.
+
+        BatchError if the batch ended by an exception.
+        """
         self.begin([batch])
-        assert self._done[batch].wait(3 * _LIMIT_S) and self.failed == []
+        assert self._done[batch].wait(3 * _LIMIT_S)
+        if (error := self._errors.get(batch)) is not None:
+            raise BatchError(f"{batch}: {error!r}") from error
+        assert self.failed == []
         return self.folder
 
 
