--- a/mountgauge/tenants/gossip/deltas.py
+++ b/mountgauge/tenants/gossip/deltas.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator
 
 from mountgauge.tenants.counts import Entry, Incarnation, Mark, max_entry_bytes
-from mountgauge.tenants.gossip.state import Contact, Span, State
+from mountgauge.tenants.gossip.state import Contact, Mismatch, Repair, Span, State
 from mountgauge.tenants.wire import MAX_DATAGRAM_BYTES, Delta, Line, MemberDigest
 
 DIGEST_BYTES_WITH_DELTAS = 120  # enough for the digests of the sender and the receiver
@@ -120,9 +120,10 @@
         if mark.check == incarnation.check or mark.version > incarnation.version:
             contact.in_flight.pop(incarnation.id, None)
             return None
-        upto, at = contact.repairs.get(incarnation.id, (0, _NEVER))
-        if now - contact.mismatches.get(incarnation.id, (mark, now))[1] < 2 * self._state.propagation_time:
+        mismatch = contact.mismatches.get(incarnation.id)
+        if mismatch is None or now - mismatch.since < 2 * self._state.propagation_time:
             return None  # the missing change is most often still in flight
+        upto, at = contact.repairs.get(incarnation.id, Repair(0, _NEVER))
         newest = incarnation.newest_version
         if not newest or (upto >= newest and now - at < resend_after):
             return None
@@ -133,7 +134,7 @@
     ) -> None:
         mark = contact.marks.get(incarnation.id, Mark(0, 0))
         if mark.version >= incarnation.version:
-            contact.repairs[incarnation.id] = (upto, now)
+            contact.repairs[incarnation.id] = Repair(upto, now)
             return
         in_flight = contact.in_flight[incarnation.id]
         in_flight.append(Span(span.after, upto, now))
@@ -185,11 +186,9 @@
         contact.reported_at[digest.life] = now
         incarnation = state.counts.incarnations[digest.life]
         if mark.version == incarnation.version and mark.check != incarnation.check:
-            if (
-                contact.mismatches.get(incarnation.id, (mark, now))[0] != mark
-                or incarnation.id not in contact.mismatches
-            ):
-                contact.mismatches[incarnation.id] = (mark, now)
+            mismatch = contact.mismatches.get(incarnation.id)
+            if mismatch is None or mismatch.mark != mark:
+                contact.mismatches[incarnation.id] = Mismatch(mark, now)
             return True
         contact.mismatches.pop(incarnation.id, None)
         return mark.version < self.reportable_version(incarnation, now)
--- a/mountgauge/tenants/gossip/state.py
+++ b/mountgauge/tenants/gossip/state.py
@@ -49,6 +49,20 @@
     at: float
 
 
+class Repair(NamedTuple):
+    """The progress of sending an incarnation again: the version sent up to, and when."""
+
+    upto: int
+    at: float
+
+
+class Mismatch(NamedTuple):
+    """A contact's mark of an incarnation: the same version as here, another checksum; and since when."""
+
+    mark: Mark
+    since: float
+
+
 @dataclass(slots=True, eq=False)
 class Contact:
     """The state of the exchange with one incarnation of another member."""
@@ -63,9 +77,8 @@
     phase: int = FULL  # of its recovery, by its last datagram
     reported_at: dict[int, float] = field(default_factory=dict)  # its last report on each incarnation
     in_flight: dict[int, list[Span]] = field(default_factory=dict)  # by incarnation
-    repairs: dict[int, tuple[int, float]] = field(default_factory=dict)  # version sent up to, and when
-    # Incarnations with the same version as here and another checksum: its mark, and since when.
-    mismatches: dict[int, tuple[Mark, float]] = field(default_factory=dict)
+    repairs: dict[int, Repair] = field(default_factory=dict)  # by incarnation
+    mismatches: dict[int, Mismatch] = field(default_factory=dict)  # by incarnation
     tombs: set[int] = field(default_factory=set)  # incarnations folded here that it still reports
     past: tuple[int, int] = (0, 0)
     past_ahead_since: float = 0.0  # since when its past is ahead of the one held here
--- a/tests/tenants/test_dead_member.py
+++ b/tests/tenants/test_dead_member.py
@@ -12,7 +12,7 @@
 from mountgauge.tenants.counts import Counts, Entry, Mark
 from mountgauge.tenants.gossip import Gossip, Identity, Plan
 from mountgauge.tenants.gossip.deltas import Deltas
-from mountgauge.tenants.gossip.state import Contact
+from mountgauge.tenants.gossip.state import Contact, Mismatch
 from mountgauge.tenants.members import Timing
 from mountgauge.tenants.quota import Quota
 from mountgauge.tenants.store import Store
@@ -129,5 +129,5 @@
 
 def _contact() -> Contact:
     contact = Contact(HERE)
-    contact.mismatches[HERE] = (Mark(0, 0), 0.0)
+    contact.mismatches[HERE] = Mismatch(Mark(0, 0), 0.0)
     return contact
