Write a voter's epoch until it is on disk, and answer nothing before

Callers could see: more calls than a budget allows, as a restarted voter takes itself for one of the epoch before. Cause (a lead from reading): GrantFile.adopted set its epoch before the append, so a second try did nothing; the service tried once (budgets/files.py, service.py). Change: the epoch is set after the append and is written at each tick until it is on disk; no ask is answered before that. Measured: both new tests fail without the change and pass with it; tests/budgets/test_parts and test_pure pass.

--- a/mountgauge/budgets/files.py
+++ b/mountgauge/budgets/files.py
@@ -179,11 +179,11 @@
             self._append(b"".join(_line(self._record(budget, grant)) for budget, grant in written))
 
     def adopted(self, epoch: int) -> None:
-        """Append the epoch that this member has adopted."""
+        """Append the epoch that this member has adopted; it is on disk once this returns."""
         if epoch > self.epoch:
-            self.epoch = epoch
             self.serial += 1
             self._append(_line(["e", self.serial, epoch]))
+            self.epoch = epoch
 
     def _append(self, content: bytes) -> None:
         if self._file is None:
--- a/mountgauge/budgets/service.py
+++ b/mountgauge/budgets/service.py
@@ -159,7 +159,7 @@
         self.gate.refresh(now)
         if self.member.membership.adopted != epoch:
             log.info("budget-epoch", extra=kv(epoch=self.member.membership.adopted))
-            self._write(lambda: self.grant_file.adopted(self.member.membership.adopted))
+        self._save_epoch()
         self._send(asks)
         if self.grant_file.full:
             self._write(lambda: self.grant_file.rewrite(self.member.records(now)))
@@ -198,8 +198,8 @@
             self.member.receive_answer(message, now)
         else:
             answer, written = self.member.receive_ask(message, now)
-            if not self._write(lambda: self.grant_file.grant(written)):
-                return []  # a grant that is not on disk must not be answered
+            if not (self._save_epoch() and self._write(lambda: self.grant_file.grant(written))):
+                return []  # a grant that is not on disk, or whose epoch is not, must not be answered
             if source is None:
                 self.member.receive_answer(answer, now)
         self.gate.refresh(now)
@@ -209,6 +209,11 @@
             return out
         return []
 
+    def _save_epoch(self) -> bool:
+        """Write the adopted epoch unless it is on disk; returns whether it is."""
+        adopted = self.member.membership.adopted
+        return adopted <= self.grant_file.epoch or self._write(lambda: self.grant_file.adopted(adopted))
+
     def _write(self, write: Callable[[], None]) -> bool:
         try:
             write()
--- a/tests/budgets/test_parts.py
+++ b/tests/budgets/test_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import os
 import tempfile
@@ -274,6 +275,57 @@
     assert again.kept and set(again.written) == {"out"}
 
 
+def _fail_writes(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(fd: int, data: bytes) -> int:
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(os, "write", fail)
+
+
+def test_an_epoch_that_could_not_be_written_can_be_written_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counted as written, and the next process voted in the epoch before."""
+    grant_file = GrantFile(tmp_path / "state", "m1", tmp_path / "witnesses")
+    grant_file.begin(1)
+    _fail_writes(monkeypatch)
+    with pytest.raises(OSError, match="no space left"):
+        grant_file.adopted(3)
+    monkeypatch.undo()
+    grant_file.adopted(3)
+    again = GrantFile(tmp_path / "state", "m1", tmp_path / "witnesses")
+    assert again.kept and again.epoch == 3
+
+
+def test_a_voter_writes_its_epoch_before_it_grants_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The write was not repeated after it had failed once, and grants went on."""
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    file = tmp_path / "m1.toml"
+    file.write_text(FILE)
+    settings = load(file).budgets
+    assert settings is not None
+
+    async def adopt_and_grant() -> None:
+        budgets = Budgets(
+            settings, "m1", tmp_path / "state", lambda: Seal("f", ["a key of sixteen characters"])
+        )
+        with monkeypatch.context() as failing:
+            failing.setattr(Budgets, "_tick", lambda self: None)
+            budgets.begin()
+        budgets.member.membership.adopted = 1
+        with monkeypatch.context() as failing:
+            _fail_writes(failing)
+            ask = Ask("m2", 7, 1, 1, 0, ())
+            assert budgets._apply(ask, ("127.0.0.1", 9)) == [], "the epoch is not on disk"
+        budgets._apply(ask, ("127.0.0.1", 9))
+        budgets.close()
+
+    run(adopt_and_grant())
+    assert GrantFile(tmp_path / "state", "m1").epoch == 1
+
+
 def test_messages_are_sealed_in_datagrams_of_bounded_size() -> None:
     seal = Seal("fleet", ["a key of sixteen characters"])
     every = (1 << 128) - 1
