--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -199,12 +199,12 @@
             attempt = kv(id=item.id, attempt=item.send_no, hop=call.hop.id, why=why)
             log.info("withheld", extra=attempt)
 
-    def _bytes_sent(self, call: Call, begun: bool, complete: bool) -> None:
-        """Check the bytes of a call that have left against the sending rules."""
-        now, hop = self._clock.now(), call.hop
+    def _bytes_sent(self, call: Call, begun: bool, complete: bool, sent_at: float) -> None:
+        """Check the bytes of a call that left at `sent_at` against the sending rules."""
+        hop = call.hop
         if begun:
             ids = [item.id for item in call.sent]
-            self._monitor.first_byte(ids, EndpointAddress(hop.id, hop.host, hop.port), now)
+            self._monitor.first_byte(ids, EndpointAddress(hop.id, hop.host, hop.port), sent_at)
         if complete and call.lease is not None:
             messages = [
                 SentMessage(
@@ -215,7 +215,7 @@
                 )
                 for item in call.sent
             ]
-            self._monitor.last_byte(messages, call.lease.zone, self.state.limit(hop), now)
+            self._monitor.last_byte(messages, call.lease.zone, self.state.limit(hop), sent_at)
 
     def finished(self, call: Call, results: dict[int, AttemptResult]) -> None:
         """Release the call's slot. A message without a result was not sent."""
