Judge a watch with an unsent request up to its write, not up to the stand-in's reading of it

Cause: the test's. It asked that the list isn't used until the stand-in's task had read the request, which is one or two turns of the loop after the request has left; the list may be used from then on. A poll that fell between failed it. Change: the sockets of the fault layer count the bytes that were written, apart from the code under test; the list must not be used until the request has been written, and the stand-in must get it. As strict: each sample before the write counts.

--- a/mountgauge/lab/faults/system_calls.py
+++ b/mountgauge/lab/faults/system_calls.py
@@ -123,7 +123,9 @@
     def send(self, data: Any, flags: int = 0) -> int:
         self.faults.raise_pending("write")
         with memoryview(data) as view, view[: self.faults.size("write", len(view))] as chunk:
-            return super().send(chunk, flags)
+            count = super().send(chunk, flags)
+        self.faults.moved["write"] += count
+        return count
 
     def recv_into(self, buffer: Any, size: int = 0, flags: int = 0) -> int:
         self.faults.raise_pending("read")
--- a/tests/crossings/test_list_lease.py
+++ b/tests/crossings/test_list_lease.py
@@ -166,8 +166,11 @@
             # so that the next watch is made
             world.discovery.open_calls[0].write(no_changes("GET /?index=5&wait=1 HTTP/1.1"))
             await until(lambda: faults.count["write"])
+            sent = faults.moved["write"]
             world.heal_later("write")
-            assert await world.used_until(lambda: len(world.discovery.paths) == 2) == []
+            # The list may be used as soon as the request has left, before the stand-in's task has read it.
+            assert await world.used_until(lambda: faults.moved["write"] > sent) == []
+            await until(lambda: len(world.discovery.paths) == 2)
 
     run_faulty(main)
 
