Make no call beside the one in flight once a crowded discovery has rejected one

Cause: a call without an answer is followed by another one after 1.2 s. A discovery that works through a queue answers 503 after 2 s, when the newer call is out already; the failed call then counts as replaced, so its back-off never ran. Eight senders made 6.7 calls a second, discovery handled 2.5, and a rejected call costs it as much as an answered one: its queue grew for as long as they called, also after the limit was lifted. Change: a rejection counts also if the call was replaced; until discovery answers, the next call is made once the newest one has ended, or after its time-out. The lease itself ends in time, so no rule depends on the calls that are left out.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -13,7 +13,8 @@
 A call without an answer is followed by another one before it times out. Its answer is still accepted until a
 newer call is answered or `call_timeout_s` is over: what discovery has written counts as notified, and a slow
 discovery would never get an answer through if each call were closed for the next one. The same holds for
-calls to the previous address after a move, until the new address has answered.
+calls to the previous address after a move, until the new address has answered. No other call follows once
+discovery has rejected a call because it has too many, until it answers.
 
 While no connection is established, further ones are dialled at short intervals, and the first one that is
 established carries the request. The network to discovery may be restored at any time, and changes that were
@@ -60,6 +61,7 @@
     losses: int = 0  # consecutive answers that may have been lost
     repeats: int = 0  # consecutive watches that were answered at once without changes
     down: bool = False  # discovery ended a watch that it had accepted, and has refused all calls since
+    crowded: bool = False  # discovery has rejected a call, and did not do so as it went down
 
 
 class DiscoveryWatch:
@@ -184,8 +186,16 @@
             if state.watch_silent and state.short_calls == 1:
                 delay = min(delay, self.bounds.silent_hedge_delay_s)
             self._next_at = now + delay
+            self._await_crowded_discovery()
         return True
 
+    def _await_crowded_discovery(self) -> None:
+        """Postpone the next call until the newest one has timed out, if discovery is crowded: each further
+        call adds to its queue, even if it is rejected.
+        """
+        if self._since_answer.crowded:
+            self._next_at = max(self._next_at, self._timeout_at(self._open[-1]))
+
     def request_blocked(self, now: float) -> None:
         """The request of the newest call is buffered, as the socket does not accept it."""
         self._lease.no_call_open(now)
@@ -275,7 +285,10 @@
         was_unreachable = state.unreachable_since is not None and call.address == self._address
         reachable_again = was_unreachable and call not in self._connected_at
         self._remove(call, now)
+        busy = failure is Failure.BUSY and not state.down
+        state.crowded = state.crowded or busy
         if self._is_replaced(call) and not reachable_again:
+            self._await_crowded_discovery()
             return
         state.short_calls_only = True
         state.failures += 1
@@ -290,7 +303,6 @@
         elif lost:
             self._retry(call, now + self.bounds.lost_retry_s(state.losses, self._rng.random()))
         else:
-            busy = failure is Failure.BUSY and not state.down
             self._retry(call, now + self.bounds.back_off_s(state.failures, self._rng.random(), busy))
 
     def _apply_failure(self, call: ListCall, failure: Failure, now: float) -> bool:
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -18,7 +18,8 @@
   after that: 0.5 s and 1.0 s with up to five senders (1.7 s from twelve on: `silent_hedge_delay_s`) of 2 s.
 - Discovery is up and rejects calls because it has too many. It could not be reached then, and calls that come
   faster than it can serve them only make it reject more. The calls are therefore spread over
-  `busy_spread_s`, which is 0.4 s with three senders and may exceed 6 s with more than 30.
+  `busy_spread_s`, which is 0.4 s with three senders and may exceed 6 s with more than 30. A call is followed
+  by another one only once it has ended, or after `call_timeout_s`.
 - Discovery is down and reports it: it ends a watch that it had accepted (one that was open for
   `likely_accepted_after_s`) and refuses all calls after it. A 503 alone does not distinguish this from an
   overloaded discovery, so it does not renew the lease. The 503 that ends the watch itself renews the lease
