End the senders that a failed test leaves running

Seen: a test that failed with a sender of `Platform` running left it to the end of the machine; it holds its ports and the output of whoever started the tests, and takes time from the tests after it. Change: `tests/processes.py` holds a pid file descriptor of each started process, and a fixture kills those that still run when the test ends. A descriptor never refers to another process, so nothing else can be hit.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rillspindle.send_monitor import Rule, SendMonitor
+from tests import processes
 from tests.known_red import mark_expected_failures, report
 from tests.rigs import RIGS
 
@@ -63,6 +64,13 @@
     assert violations == []
 
 
+@pytest.fixture(autouse=True)
+def no_processes_left() -> Iterator[None]:
+    """End the processes that a test leaves as it fails."""
+    yield
+    processes.kill_all()
+
+
 def _rank(item: pytest.Item) -> int:
     if any(item.nodeid.startswith(file) for file in _RIG_BATCHES):
         return 2
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,6 +12,7 @@
 
 from mountgauge.http1 import Message, response
 from mountgauge.lab.ports import reserve_ports
+from tests import processes
 from tests.helper import HOST, HttpServer, reply_without_changes, run, until
 from tests.settings import message_class, settings
 
@@ -82,6 +83,7 @@
                 sys.executable, "-m", "mountgauge", env={**os.environ, **env, **extra_env},
                 stderr=log, pass_fds=() if _fds is None else (5,), preexec_fn=pass_socket,
             )  # fmt: skip
+        processes.register(process.pid)
         await until(lambda: process.returncode is not None or self.pings(), START_LIMIT_S)
         assert process.returncode is None, (self.folder / "sender.log").read_text()[-2000:]
         return process
