Reject messages in a new process that discovery fails, until discovery answers

Cause: a new process without a list takes on all that comes. Six of them held some 450 messages when discovery was back; the destination of 60 calls a second then worked at its limit for 6 s, and the oldest expired. Nothing that is done after the return can deliver them all: what comes in and what is held is more than the destinations take. Change: from its first failed call until discovery answers, a process with no evidence for its list rejects messages as harmless to submit again (-BUSY 250, `refused.no-list`). Another sender may have a list; restored messages wait as before.

--- a/mountgauge/core/admission.py
+++ b/mountgauge/core/admission.py
@@ -46,6 +46,8 @@
         self.list_received = False
         # Whether a message accepted now could neither be sent nor have its outcome reported.
         self.isolated: Callable[[], bool] = lambda: False
+        # Whether it would have to wait for a source of lists that fails, while other senders may have a list.
+        self.lacks_list: Callable[[], bool] = lambda: False
         self._policy, self._journal, self._table, self._pending = policy, journal, table, pending
         self._attempts, self._outcomes, self._counts, self._started = attempts, outcomes, counts, started
 
@@ -77,6 +79,9 @@
         if self.isolated():
             self._counts["refused", "cut-off"] += 1
             return MessageOutcome(Status.DEFERRED, _RETRY_AFTER_MS)
+        if self.lacks_list():
+            self._counts["refused", "no-list"] += 1
+            return MessageOutcome(Status.DEFERRED, _RETRY_AFTER_MS)
         scope = self._outcomes.scope
         if scope is not None and not scope.accepts(submission.dest):
             # Served by another sender, to which it may be submitted, or not known yet.
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -131,6 +131,10 @@
         """
         return self._watch.isolated(self._now())
 
+    def lacks_list(self) -> bool:
+        """Whether discovery has failed a call, and has not confirmed the list since the process started."""
+        return self._watch.lacks_list(self._now())
+
     def _exchange_lease_end(self) -> LeaseEnd | None:
         if any([exchange.answer_pending for exchange in self._exchanges.values()]):
             return LeaseEnd.ANSWER_UNREAD
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -117,6 +117,12 @@
         unreachable = self._since_answer.unreachable_since is not None
         return unreachable and self._lease.end_reason(now) is not None
 
+    def lacks_list(self, now: float) -> bool:
+        """Whether nothing has confirmed the list since the start, and discovery has failed a call: then a
+        message has to wait until discovery recovers, which may be after its deadline.
+        """
+        return self.failures > 0 and self._lease.end_reason(now) is LeaseEnd.NO_EVIDENCE
+
     def start(self, now: float) -> None:
         """Start watching; does nothing if the watch is on."""
         if not self._on:
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -44,6 +44,7 @@
         self._recheck: asyncio.TimerHandle | None = None
         self.sender.list_lease = self._lease_end_reason
         self.sender.admission.isolated = self.discovery.isolated
+        self.sender.admission.lacks_list = self.discovery.lacks_list
         self.map = self.discovery
         self.registry = Registry(platform_settings(clients))
         deadlines = [message_class.deadline for message_class in rules.message_classes]
--- a/tests/crossings/test_refused_discovery.py
+++ b/tests/crossings/test_refused_discovery.py
@@ -121,3 +121,26 @@
 
 def test_a_reset_does_not_renew_the_lease_on_the_list(tmp_path: Path) -> None:
     run(none_late(RESET_SCENES, tmp_path), 60)
+
+
+def test_a_new_process_whose_calls_break_rejects_messages_until_discovery_answers(tmp_path: Path) -> None:
+    """It accepted them and held them for up to their deadline; another sender may have a list."""
+
+    async def main() -> None:
+        async with World(tmp_path, [], senders=12) as world:
+            world.process.kill()
+            await world.process.wait()
+            world.client.cancel()
+            world.list.script[:] = [RESET] * 100
+            calls_before = len(world.list.calls)
+            world.process = await world.launch()
+            await until(lambda: len(world.list.calls) >= calls_before + 2)
+            received = len(world.received["stays"] + world.received["leaver"])
+            answers = await world.send(("early", "safe"), ("second", "safe"))
+            assert answers == [b"-BUSY 250\r\n"] * 2
+            world.list.script.clear()
+            while await world.send(("retry", "safe")) != [b"+OK\r\n"]:
+                await asyncio.sleep(0.1)
+            await until(lambda: len(world.received["stays"] + world.received["leaver"]) > received)
+
+    run(main(), 40)
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -416,6 +416,19 @@
     assert not refused.watch.isolated(refused.now + 100.0), "a refusal shows that discovery is down"
 
 
+@pytest.mark.parametrize("failure", [Failure.BUSY, Failure.BROKEN])
+def test_a_sender_lacks_a_list_from_the_first_failed_call_until_the_first_answer(failure: Failure) -> None:
+    driven = Driven(200, subscribe=failure is Failure.BROKEN, answered=False)
+    first = driven.asked()
+    assert not driven.watch.lacks_list(driven.now), "the first call may be answered at any time"
+    driven.watch.failed(first, failure, driven.now)
+    assert driven.watch.lacks_list(driven.now) and driven.watch.lacks_list(driven.now + 100.0)
+    assert driven.watch.answered(driven.asked(), 5, driven.now)
+    assert not driven.watch.lacks_list(driven.now)
+    driven.goes_down(failure)
+    assert not driven.watch.lacks_list(driven.now + 100.0), "its list was confirmed before"
+
+
 def test_a_503_counts_from_its_arrival_less_its_time_in_transit() -> None:
     """It was written no earlier, however long discovery had held the call; a connection may have been refused
     at any time since it was dialled. Here the 503 ends an accepted watch, so it shows an outage.
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -178,6 +178,19 @@
     assert bench.answers["b"] == Accepted() and len(bench.calls) == 1
 
 
+def test_no_message_is_accepted_that_would_have_to_wait_for_a_failing_source_of_lists(bench: Bench) -> None:
+    lacking = True
+    bench.sender.admission.lacks_list = lambda: lacking
+    bench.submit("a")
+    bench.pass_time(0.01)
+    assert bench.answers["a"] == MessageOutcome(Status.DEFERRED, 250)
+    assert not bench.journal.live and not bench.calls
+    lacking = False
+    bench.submit("b")
+    bench.pass_time(0.01)
+    assert bench.answers["b"] == Accepted() and len(bench.calls) == 1
+
+
 def test_messages_of_one_tick_share_a_call(tmp_path: Path) -> None:
     bench = Bench(tmp_path)
     bench.sender.start(bench.hops(Readiness.READY, kind=1))
