--- a/tests/platform/test_crowded_discovery.py
+++ b/tests/platform/test_crowded_discovery.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -27,13 +28,16 @@
 # Until a sender knows that discovery is crowded, it makes a second call beside an unanswered one.
 MAX_QUEUE_S = 2 * SENDERS * COST_S
 SAMPLE_S = 1.0
+SEEDS = range(20)
+SHORT_CROWD_S = 5.0
 VERSION = 5
 
 
 class CrowdedDiscovery:
     """A discovery with one queue, and the senders that call it."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, crowded_s: float = CROWDED_S, patience_s: float = PATIENCE_S) -> None:
+        self.crowded_s, self.patience_s = crowded_s, patience_s
         random = Random(seed)
         self.now, self.free_at, self.calls = 0.0, 0.0, 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -74,10 +78,10 @@
         if self.now < DOWN_S:
             self._at(self.now, lambda: self._fail(sender, call, Failure.BROKEN))
             return
-        cost_s = COST_S if self.now < DOWN_S + CROWDED_S else 0.0
+        cost_s = COST_S if self.now < DOWN_S + self.crowded_s else 0.0
         self.free_at = max(self.now, self.free_at) + cost_s
-        if self.free_at - self.now > PATIENCE_S:
-            self._at(self.now + PATIENCE_S, lambda: self._fail(sender, call, Failure.BUSY))
+        if self.free_at - self.now > self.patience_s:
+            self._at(self.now + self.patience_s, lambda: self._fail(sender, call, Failure.BUSY))
         else:
             self._at(self.free_at + call.wait_s, lambda: self._answer(sender, call))
 
@@ -90,7 +94,7 @@
         self._poll(sender)
 
 
-@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_a_fleet_does_not_fill_the_queue_of_a_crowded_discovery(seed: int) -> None:
     """Each sender called again every 1.2 s, whether or not its calls were rejected: the queue grew by 16 s
     in 10 s, and no sender had a list again.
@@ -105,3 +109,28 @@
     discovery.play(recovered_at + MAX_QUEUE_S + PATIENCE_S + last_back_off_s)
     reasons = [sender.lease_end_reason(discovery.now) for sender in discovery.senders]
     assert reasons == [None] * SENDERS
+
+
+def test_each_sender_has_a_list_soon_after_a_short_crowd() -> None:
+    """After it a call may be rejected once more, back off, and wait for its answer."""
+    bounds = bounds_of(SENDERS)
+    last_back_off_s = (1 + JITTER) * bounds.max_back_off_s + bounds.spread_s
+    without_list = {}
+    for seed in SEEDS:
+        discovery = CrowdedDiscovery(seed, SHORT_CROWD_S)
+        discovery.play(DOWN_S + SHORT_CROWD_S + PATIENCE_S + last_back_off_s + PATIENCE_S)
+        reasons = [sender.lease_end_reason(discovery.now) for sender in discovery.senders]
+        if reasons != [None] * SENDERS:
+            without_list[seed] = SENDERS - reasons.count(None)
+    assert not without_list
+
+
+def test_a_fleet_does_not_fill_the_queue_of_a_crowded_discovery_that_rejects_nothing() -> None:
+    """Nothing tells the senders that it is crowded, except that it answers late."""
+    queues_s = {}
+    for seed in SEEDS:
+        discovery = CrowdedDiscovery(seed, patience_s=math.inf)
+        while discovery.now < DOWN_S + CROWDED_S:
+            discovery.play(discovery.now + SAMPLE_S)
+        queues_s[seed] = round(discovery.free_at - discovery.now, 1)
+    assert max(queues_s.values()) <= MAX_QUEUE_S
