--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -226,6 +226,7 @@
         self.platform, self.name, self.pace_s = platform, name, pace_s
         self.status = 200
         self.silent = False  # from now on calls get no answer
+        self.draw: Callable[[], float] | None = None  # the time that the next call takes, instead of `pace_s`
         self.server = HttpServer(self._handle)
         self.port = 0
 
@@ -247,7 +248,7 @@
         began = record.now()
         for one in ids:
             self.platform.fates[one].runs.append((began, self.name, 0))
-        await asyncio.sleep(self.pace_s)
+        await asyncio.sleep(self.pace_s if self.draw is None else self.draw())
         if self.silent:
             return None
         status = self.status
