Review case 3: after a restart in a crowd of discovery, messages reach another partner

Cause: a 503 to a new process makes the list that it was started with count as of its start, so a change from before the start is heeded late, also where the endpoint's address is another partner's by then.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -115,7 +115,7 @@
         if ended is None or ended > fate.sent_at + fate.lasts_s + SLACK_S:
             lost.append(fate)
             record.line(f"LOST {fate.id}: sent {fate.sent_at:.3f}, ended {ended}, runs {fate.runs}")
-    delivered = sum(1 for fate in taken if any(status == 200 for _, _, status in fate.runs))
+    delivered = sum(1 for fate in taken if fate.delivered)
     text = f"handed in {len(platform.fates)}, taken on {len(taken)}, delivered {delivered}, lost {len(lost)}"
     record.line(text)
     print(text)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,24 +1,19 @@
-"""Case 3: the process is replaced while some endpoints hang through the old one's whole shutdown."""
+"""Case 3: a process that starts while discovery is crowded goes by the list that it was started with."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import socket
 import sys
 import tempfile
-import time
 from pathlib import Path
-from random import Random
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from stand_ins import (
-    HOST,
     Client,
     Endpoint,
     Entry,
-    NotRunError,
+    Fate,
     Platform,
     Record,
     Sender,
@@ -26,142 +21,108 @@
     disrupted,
     free_port,
     run_case,
+    settings,
 )
 
 FOLDER = Path(__file__).resolve().parent
-RATE = 25.0  # messages a second
-SLACK_S = 0.5 + 0.05  # after its time; later it is lost
-EXCUSED_S = 1.5  # from the SIGTERM: taken in the old process's favour, though the new one is ready already
-KILLED_AFTER_S = 3.7  # from SIGTERM to SIGKILL
-HUNG = 3  # of eight endpoints
-MEAN_S, LONGEST_S = 0.29, 1.0  # of the time that a call takes
-REPLACED_AT_S, LAST_AT_S = 6.0, 11.0
-
-
-def inherit_listener(port: int) -> None:
-    """The platform keeps the clients' listening socket; each process inherits it as descriptor 5."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((HOST, port))
-    listener.listen(128)
-    os.dup2(listener.fileno(), 5, inheritable=True)
-    listener.close()
-
-
-async def says_ready(port: int) -> bool:
-    """Whether the process answers `GET /_ready` at its console with a 2xx."""
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(b"GET /_ready HTTP/1.1\r\nHost: console\r\n\r\n")
-            line = await reader.readline()
-            writer.close()
-    except (OSError, TimeoutError):
-        return False
-    return line.startswith(b"HTTP/1.1 2")
-
-
-async def start_process(sender: Sender) -> None:
-    """Start a process with a console address of its own, and wait until it takes clients."""
-    console = free_port()
-    await sender.start((5,), GW_LISTEN_FD="5", GW_CONSOLE=f"{HOST}:{console}")
-    until = time.monotonic() + 30
-    while not await says_ready(console):
-        if time.monotonic() > until:
-            raise NotRunError("a process did not get ready")
-        await asyncio.sleep(0.05)
-    sender.record.line(f"sender: process {len(sender.processes)} says yes")
+SENDERS = 12  # of the fleet, as the settings say; one of them is played
+RATE = 12.0  # messages a second
+LASTS_S = 4.0
+WEIGHT = 240.0  # calls a second that a destination takes from all senders together
+KILLED_AT_S = 4.0
+DOWN_S = 1.4  # from SIGKILL to the next start
+CROWDED_S = 11.0  # from SIGKILL on
+GONE_AFTER_S = 6.2  # from `leaving` to `left`
+TOLD_AFTER_S = 6.0  # at the latest, after discovery had the change
+GRACE_S = 0.25 + 0.05
 
 
 async def main(record: Record) -> bool:
     """Run the case; whether the rule held."""
     platform = Platform(record)
-    endpoints = [Endpoint(platform, f"e{number}") for number in range(1, 9)]
-    times = Random(55)
-    for number, endpoint in enumerate(endpoints, 1):
-        await endpoint.start()
-        endpoint.draw = lambda: min(times.expovariate(1 / MEAN_S), LONGEST_S)
-        platform.entries.append(Entry(endpoint.name, endpoint.port, number))
+    endpoints = {name: Endpoint(platform, name) for name in ("e1", "e2", "e3")}
+    for name, cell in (("e1", 1), ("e2", 1), ("e3", 2)):
+        await endpoints[name].start()
+        platform.entries.append(Entry(name, endpoints[name].port, cell, weight=WEIGHT))
     discovery = await platform.add_address("A")
     port = free_port()
-    inherit_listener(port)
     with tempfile.TemporaryDirectory() as folder:
-        sender = Sender(record, Path(folder), configuration(platform, port, discovery.port))
+        config = configuration(platform, port, discovery.port, settings=settings(balancers=SENDERS))
+        sender = Sender(record, Path(folder), config)
         client = Client(platform, port)
         try:
-            await start_process(sender)
-            replacing = asyncio.create_task(replace(sender, endpoints))
-            await hand_in(client)
-            told_at = await replacing
-            await asyncio.sleep(9.0)
-            for line in sender.log_lines("at=run"):
-                record.line(f"log: {line}")
+            await sender.start()
+            await client.until_ready()
+            handing_in = asyncio.create_task(hand_in(client))
+            await asyncio.sleep(KILLED_AT_S)
+            changed_at = await release(platform, sender, endpoints["e1"])
+            await asyncio.sleep(changed_at + CROWDED_S + 3.0 - record.now())
+            handing_in.cancel()
+            for line in sender.log_lines("event=ready", "at=list", "discovery event=list-call-ended"):
+                record.line(f"log: {line[:160]}")
         finally:
             await sender.end()
-    return judge(record, platform, told_at)
+    return judge(record, platform, changed_at)
 
 
 async def hand_in(client: Client) -> None:
-    """Hand in messages at a steady rate to all destinations."""
-    record, number, tasks = client.platform.record, 0, []
-    began = record.now()
-    while record.now() - began < LAST_AT_S:
+    """Hand in messages at a steady rate to both destinations."""
+    tasks: set[asyncio.Task[Fate]] = set()
+    number = 0
+    while True:
         number += 1
-        dest, late = 1 + number % 8, number // 8 % 4
-        # Some are handed in again after a refusal and have little of their time left.
-        if late:
-            tasks.append(asyncio.create_task(client.submit("route-update", dest, (8.0, 1.0, 1.4, 1.8)[late])))
-        else:
-            tasks.append(asyncio.create_task(client.submit("stop-confirm", dest, 8.0, keyed=True)))
+        task = asyncio.create_task(client.submit("route-update", 1 + number % 2, LASTS_S))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
         await asyncio.sleep(1 / RATE)
-    await asyncio.gather(*tasks)
 
 
-async def replace(sender: Sender, endpoints: list[Endpoint]) -> float:
-    """Replace the process; returns when SIGTERM was sent to the old one."""
-    record = sender.record
-    await asyncio.sleep(REPLACED_AT_S)
-    await start_process(sender)
+async def release(platform: Platform, sender: Sender, replaced: Endpoint) -> float:
+    """The sender is killed and started again, and an endpoint is replaced meanwhile; returns when the list
+    said that the endpoint is leaving.
+    """
+    record, config = platform.record, {**sender.config, "known": platform.known()}
+    sender.signal(signal.SIGKILL)
+    await sender.processes[-1].wait()
     if disrupted():
-        record.line(f"platform: {HUNG} of {len(endpoints)} endpoints hang from now on")
-        for endpoint in endpoints[:HUNG]:
-            endpoint.silent = True
-        await asyncio.sleep(0.6)
-    told_at = record.now()
-    old = sender.processes[0]
-    sender.signal(signal.SIGTERM, old)
-    try:
-        async with asyncio.timeout(KILLED_AFTER_S):
-            code = await old.wait()
-            record.line(
-                f"sender: process 1 has ended with {code}, {record.now() - told_at:.3f} s after SIGTERM"
-            )
-    except TimeoutError:
-        sender.signal(signal.SIGKILL, old)
-    return told_at
-
-
-def judge(record: Record, platform: Platform, told_at: float) -> bool:
-    """Every message that was taken on has to be delivered, or ended by a notice, in its time."""
-    taken = [fate for fate in platform.fates.values() if fate.taken_on]
-    lost, longest = 0, 0.0
-    for fate in taken:
-        ended, bound = fate.ended_at(), fate.sent_at + fate.lasts_s + SLACK_S
-        if told_at <= bound:
-            bound = max(bound, told_at + EXCUSED_S)
-        if ended is None or ended > bound:
-            lost += 1
-            late = float("inf") if ended is None else ended - (fate.sent_at + fate.lasts_s)
-            longest = max(longest, late)
-            record.line(
-                f"LOST {fate.id}: dest {fate.dest}, sent {fate.sent_at:.3f}, its time was up at "
-                f"{fate.sent_at + fate.lasts_s:.3f}, ended {ended}, {late:.3f} s late"
-            )
-    delivered = sum(1 for fate in taken if any(status == 200 for _, _, status in fate.runs))
-    text = f"taken on {len(taken)}, delivered {delivered}, lost {lost}, the latest by {longest:.3f} s"
+        record.line("platform: discovery is crowded: each call waits for 1 s, and then fails with 503")
+        platform.crowded_until = record.now() + CROWDED_S
+    record.line("platform: version 42: e1, of destination 1, is leaving")
+    changed_at = record.now()
+    platform.entries[0].state = "leaving"
+    platform.version = 42
+    await asyncio.sleep(DOWN_S)
+    sender.write(config)  # the list as this sender last had it
+    await sender.start()
+    await asyncio.sleep(changed_at + GONE_AFTER_S - record.now())
+    record.line("platform: version 43: e1 has left; at its address e4 serves destination 2")
+    replaced.server.stop_listening()
+    replaced.server.close_connections()
+    other = Endpoint(platform, "e4")
+    await other.server.start(replaced.port)
+    platform.entries[0] = Entry("e4", replaced.port, 2, weight=WEIGHT)
+    platform.version = 43
+    return changed_at
+
+
+def judge(record: Record, platform: Platform, changed_at: float) -> bool:
+    """A message goes to an endpoint of its destination, and to none that has been told to be leaving."""
+    due = changed_at + TOLD_AFTER_S + GRACE_S
+    foreign = [(fate, run) for fate in platform.fates.values() for run in fate.runs if run.endpoint == "e4"]
+    foreign = [(fate, run) for fate, run in foreign if fate.dest != 2 and run.began > due]
+    for fate, run in foreign:
+        record.line(
+            f"MISDELIVERED {fate.id} of destination {fate.dest}: at {run.began:.3f} to e4 of destination 2, "
+            f"{run.began - changed_at:.3f} s after the list's change, {run.began - due:.3f} s late"
+        )
+    taken = sum(1 for fate in platform.fates.values() if fate.taken_on)
+    longest = max((run.began - due for _, run in foreign), default=0.0)
+    text = (
+        f"taken on {taken}, run at another destination's endpoint {len(foreign)}, up to {longest:.3f} s late"
+    )
     record.line(text)
     print(text)
-    return not lost
+    return not foreign
 
 
 if __name__ == "__main__":
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -152,6 +152,16 @@
                 "cell": self.cell, "state": self.state, "weight": self.weight, "started_ms": 0}  # fmt: skip
 
 
+@dataclass(slots=True)
+class Run:
+    """A call of a message that an endpoint has begun."""
+
+    began: float
+    endpoint: str
+    status: int = 0  # 0: not answered
+    answered: float | None = None
+
+
 @dataclass(slots=True)
 class Fate:
     """What happened to one message, by the id under which it was handed in."""
@@ -162,9 +172,14 @@
     message_class: str
     dest: int
     answer: str = ""  # the sender's, "" if there was none
-    runs: list[tuple[float, str, int]] = field(default_factory=list)  # when, endpoint, status answered
+    runs: list[Run] = field(default_factory=list)
     notices: list[tuple[float, str]] = field(default_factory=list)
 
+    @property
+    def delivered(self) -> bool:
+        """Whether a call of it was answered 200."""
+        return any(run.status == 200 for run in self.runs)
+
     @property
     def taken_on(self) -> bool:
         """Whether the sender took it on."""
@@ -172,7 +187,8 @@
 
     def ended_at(self) -> float | None:
         """When it was delivered, or ended by a notice; None if neither."""
-        ends = [at for at, _, status in self.runs if status == 200] + [at for at, _ in self.notices]
+        ends = [run.answered for run in self.runs if run.status == 200 and run.answered is not None]
+        ends += [at for at, _ in self.notices]
         return min(ends, default=None)
 
 
@@ -184,6 +200,7 @@
         self.entries: list[Entry] = []
         self.version = 41
         self.fates: dict[str, Fate] = {}
+        self.crowded_until = 0.0  # until then each call to discovery waits for 1 s and fails
 
     def known(self) -> dict[str, Any]:
         """The list."""
@@ -203,6 +220,10 @@
                 return answer(204)
             if path != "/registry/instances":
                 return answer(404)
+            if self.record.now() < self.crowded_until:
+                await asyncio.sleep(1.0)
+                self.record.line(f"discovery {name}: 503")
+                return answer(503)
             pairs = dict(part.split("=") for part in query.split("&")) if query else {}
             if "index" not in pairs:
                 self.record.line(f"discovery {name}: whole list, version {self.version}")
@@ -226,7 +247,6 @@
         self.platform, self.name, self.pace_s = platform, name, pace_s
         self.status = 200
         self.silent = False  # from now on calls get no answer
-        self.draw: Callable[[], float] | None = None  # the time that the next call takes, instead of `pace_s`
         self.server = HttpServer(self._handle)
         self.port = 0
 
@@ -245,17 +265,15 @@
             record.line(f"endpoint {self.name}: {unknown} were handed in by nobody")
             return answer(400)
         record.line(f"endpoint {self.name}: run {' '.join(ids)}")
-        began = record.now()
-        for one in ids:
-            self.platform.fates[one].runs.append((began, self.name, 0))
-        await asyncio.sleep(self.pace_s if self.draw is None else self.draw())
+        runs = [Run(record.now(), self.name) for _ in ids]
+        for one, run in zip(ids, runs, strict=True):
+            self.platform.fates[one].runs.append(run)
+        await asyncio.sleep(self.pace_s)
         if self.silent:
             return None
         status = self.status
-        for one in ids:
-            runs = self.platform.fates[one].runs
-            index = next(i for i, run in enumerate(runs) if run[:2] == (began, self.name))
-            runs[index] = (record.now(), self.name, status)
+        for run in runs:
+            run.status, run.answered = status, record.now()
         record.line(f"endpoint {self.name}: answered {status} {' '.join(ids)}")
         if request.target == "/hook" or status != 200:
             return answer(status)
