--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,6 +21,7 @@
     configuration,
     disrupted,
     free_port,
+    require_load,
     run_case,
 )
 
@@ -109,6 +110,7 @@
 def judge(record: Record, platform: Platform) -> bool:
     """Every message that was taken on has to be delivered, or ended by a notice, in its time."""
     taken = [fate for fate in platform.fates.values() if fate.taken_on]
+    require_load(len(taken), 150)
     lost = []
     for fate in taken:
         ended = fate.ended_at()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
     configuration,
     disrupted,
     free_port,
+    require_load,
     run_case,
     settings,
 )
@@ -130,6 +131,7 @@
     for fate in twice:
         record.line(f"RUN {len(fate.runs)} TIMES {fate.id}: {fate.runs}")
     taken = sum(1 for fate in unsafe if fate.taken_on)
+    require_load(taken, 200)
     once = sum(1 for fate in unsafe if len(fate.runs) == 1)
     text = f"stop-confirms handed in {len(unsafe)}, taken on {taken}, run once {once}, run again {len(twice)}"
     record.line(text)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,6 +20,7 @@
     configuration,
     disrupted,
     free_port,
+    require_load,
     run_case,
     settings,
 )
@@ -116,6 +117,7 @@
             f"{run.began - changed_at:.3f} s after the list's change, {run.began - due:.3f} s late"
         )
     taken = sum(1 for fate in platform.fates.values() if fate.taken_on)
+    require_load(taken, 100)
     longest = max((run.began - due for _, run in foreign), default=0.0)
     text = (
         f"taken on {taken}, run at another destination's endpoint {len(foreign)}, up to {longest:.3f} s late"
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -486,19 +486,28 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def require_load(taken: int, least: int) -> None:
+    """Raise NotRunError if the sender has taken on too few messages for a verdict."""
+    if taken < least:
+        raise NotRunError(f"only {taken} messages were taken on, {least} are wanted")
+
+
 def run_case(folder: Path, main: Callable[[Record], Awaitable[bool]], limit_s: float) -> int:
-    """Run a case; returns its exit code. `main` returns whether the rule held."""
+    """Run a case; returns its exit code. `main` returns whether the rule held. SIGTERM ends it in order."""
     record = Record(folder)
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await main(record)
 
     try:
         held = asyncio.run(bounded())
-    except (NotRunError, OSError, TimeoutError) as error:
-        record.line(f"not run: {type(error).__name__}: {error}")
-        print(f"not run: {type(error).__name__}: {error}")
+    except (Exception, asyncio.CancelledError) as error:  # nothing is known of the rule then
+        record.line(f"not run: {error!r}")
+        print(f"not run: {error!r}")
         return NOT_RUN
     finally:
         record.close()
