--- a/review/2/case.py
+++ b/review/2/case.py
@@ -95,12 +95,11 @@
     clump = Client(client.platform, client.port, f"c{cycle}")
     await clump.connections(CLUMP)
     await asyncio.sleep(0.1)
+    tasks = [asyncio.create_task(clump.submit("stop-confirm", dest, LASTS_S)) for _ in range(CLUMP)]
+    await asyncio.sleep(0.001 * (cycle % 3))  # the tasks begin: all messages are handed in
     if disrupted():
         record.line("platform: a new file, without the class stop-confirm")
         sender.write(with_classes(both, *OTHERS))
-    tasks = [asyncio.create_task(clump.submit("stop-confirm", dest, LASTS_S)) for _ in range(CLUMP)]
-    await asyncio.sleep(0.001 * (cycle % 3))
-    if disrupted():
         sender.signal(signal.SIGHUP)
     await asyncio.gather(*tasks)
     clump.close()
