Keep the numbers of classes, zones and kinds over a reload, and each message its class

Zones and kinds of endpoints were positions too. The guard knew classes by name at each check, so it forgot a class that had gone. Change: setting_numbers.py arranges new settings so that a number that was given out keeps its meaning; what is gone keeps its definition, which new messages can't use. Pending messages and calls carry the class object, which the guard, the run-time check and the outcomes use. Why it works: no list that a reload replaces is looked up by a number or a name of the list before.

--- a/mountgauge/clients/front.py
+++ b/mountgauge/clients/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from mountgauge.access import DEFAULT_TENANT, Access
 from mountgauge.clients.connection import BadRequestError, ClientConnection, ClientFront, Slot
@@ -40,10 +40,12 @@
         self.lame_duck = False  # PING is answered with an error, so that clients go elsewhere
         self.closing_after_answers = False
 
-    def set_classes(self, class_names: tuple[str, ...], deadlines: Sequence[float]) -> None:
-        """Replace the message classes after a reload; removed classes are rejected from now on."""
-        self._classes = {name.encode(): index for index, name in enumerate(class_names)}
-        self._deadlines = list(deadlines) or [math.inf] * len(class_names)
+    def set_classes(self, class_numbers: Mapping[str, int], deadlines: Sequence[float]) -> None:
+        """Replace the message classes after a reload; removed classes are rejected from now on. `deadlines`
+        are by number, those of removed classes included.
+        """
+        self._classes = {name.encode(): number for name, number in class_numbers.items()}
+        self._deadlines = list(deadlines)
 
     async def listen(self, host: str, port: int) -> None:
         """Accept clients from now on."""
--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -99,7 +99,14 @@
             return
         stored = message.stored
         item = CallItem(
-            message.number, send_no, stored.id, stored.key, stored.class_name, stored.body, message.expires
+            message.number,
+            send_no,
+            stored.id,
+            stored.key,
+            stored.class_name,
+            stored.body,
+            message.expires,
+            message_class=message.message_class,
         )
         times_out_at = now + max(0.0, action.timeout)
         if (full := calls.full(hop)) is not None:
@@ -209,7 +216,7 @@
             messages = [
                 SentMessage(
                     item.id,
-                    self.state.message_classes.get(item.class_name),
+                    item.message_class,
                     item.expires,
                     item.id in self._journal.live,
                 )
--- a/mountgauge/core/config.py
+++ b/mountgauge/core/config.py
@@ -82,6 +82,18 @@
     class_names: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
+    removed_classes: frozenset[int] = frozenset()  # numbers that only messages under way still have
+
+    def class_numbers(self) -> dict[str, int]:
+        """The numbers of the classes that new messages may have, by name."""
+        return {
+            name: number for number, name in enumerate(self.class_names) if number not in self.removed_classes
+        }
+
+    def known_class(self, name: str) -> int | None:
+        """The number of a class of this name: of a removed one if new messages may not have it."""
+        numbers = [number for number, one in enumerate(self.class_names) if one == name]
+        return max(numbers, key=lambda number: (number not in self.removed_classes, number), default=None)
 
     def update(self, raw: Any) -> MapUpdate:
         """Parse and check a list in discovery's format; raises ValueError if it has another format."""
--- a/mountgauge/core/message_outcomes.py
+++ b/mountgauge/core/message_outcomes.py
@@ -76,8 +76,7 @@
         in_flight = message.call is not None and any(
             item.number == message.number for item in message.call.sent
         )
-        message_class = self._state.message_classes.get(message.stored.class_name)
-        if send_guard.may_reject(message_class, in_flight or bool(message.stored.maybe_ran)):
+        if send_guard.may_reject(message.message_class, in_flight or bool(message.stored.maybe_ran)):
             return outcome
         self._counts["withheld", send_guard.Refusal.MAY_HAVE_RUN] += 1
         return MessageOutcome(Status.UNDELIVERABLE)
@@ -100,9 +99,7 @@
 
         self._counts["end", outcome.status.value] += 1
         if outcome.status is Status.DEFERRED:
-            self._monitor.rejected(
-                message.stored.id, self._state.message_classes.get(message.stored.class_name)
-            )
+            self._monitor.rejected(message.stored.id, message.message_class)
         self._front(message).report_outcome(message.stored.id, outcome, confirmed)
 
     def remove(self, message: PendingMessage) -> None:
--- a/mountgauge/core/pending_messages.py
+++ b/mountgauge/core/pending_messages.py
@@ -6,6 +6,7 @@
 
 from mountgauge.core.journal import StoredMessage
 from mountgauge.core.ports import Call
+from rillspindle.interface import MessageClass
 
 _MAX_NUMBER = 0xFFFFFFFE  # numbers are 32 bits wide and wrap around
 
@@ -17,6 +18,7 @@
     number: int  # its id in the decision module
     stored: StoredMessage
     expires: float  # on the sender's clock, s
+    message_class: MessageClass | None = None  # that it was accepted with; None: unknown
     issued: int = 0  # attempts that the decision module has ordered
     call: Call | None = None
     finished: bool = False
@@ -30,9 +32,12 @@
         self.numbers_by_id: dict[str, int] = {}
         self._last_number = 0
 
-    def add(self, stored: StoredMessage, expires: float) -> PendingMessage:
+    def add(
+        self, stored: StoredMessage, expires: float, message_class: MessageClass | None = None
+    ) -> PendingMessage:
+        """Add a message under the next number."""
         self._last_number = self._last_number % _MAX_NUMBER + 1
-        message = PendingMessage(self._last_number, stored, expires)
+        message = PendingMessage(self._last_number, stored, expires, message_class)
         self[message.number] = message
         self.numbers_by_id[stored.id] = message.number
         return message
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -9,7 +9,7 @@
 
 from mountgauge.core.durable_time import Clocks
 from mountgauge.leased_socket import SendLease
-from rillspindle.interface import Entry, Outcome
+from rillspindle.interface import Entry, MessageClass, Outcome
 from rillspindle.send_guard import Refusal, SendPermit
 
 
@@ -41,7 +41,7 @@
     """A message that a client submits, and the callback that answers the client."""
 
     id: str
-    message_class: int  # index of its message class
+    message_class: int  # number of its message class, which reloads don't change
     remaining_s: float  # time left for delivery
     dest: int
     key: str
@@ -73,6 +73,7 @@
     body: bytes
     expires: float
     reported: bool = False
+    message_class: MessageClass | None = None  # None: unknown, so no repeat is allowed
 
 
 class AttemptResult(NamedTuple):
--- a/mountgauge/core/restore.py
+++ b/mountgauge/core/restore.py
@@ -15,10 +15,10 @@
 
 
 def outcome_without_class(stored: StoredMessage, names: SettingNames) -> MessageOutcome | None:
-    """The outcome of a message whose class is no longer in the settings, so that its repeat rule is unknown:
+    """The outcome of a message whose class this process has never had, so that its repeat rule is unknown:
     deferred only if it certainly has not run. None if the class is known, or an outcome is on record.
     """
-    if stored.class_name in names.class_names or stored.notice is not None:
+    if names.known_class(stored.class_name) is not None or stored.notice is not None:
         return None
     return MessageOutcome(Status.UNDELIVERABLE if stored.maybe_ran else Status.DEFERRED)
 
--- a/mountgauge/core/send_state.py
+++ b/mountgauge/core/send_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 
 from mountgauge.core.hop_table import HopTable
 from mountgauge.core.journal import Journal
@@ -24,7 +23,6 @@
         self, rules: io.Settings, table: HopTable, journal: Journal, pending: PendingMessages, waits: Waits
     ) -> None:
         self.rules = rules
-        self.message_classes: Mapping[str, io.MessageClass] = {}  # message classes by name
         self.list_lease: LeaseCheck | None = None  # of the source of lists; None if lists need no lease
         self.stopped = False  # nothing new is sent
         self._table, self._journal, self._pending, self._waits = table, journal, pending, waits
@@ -58,7 +56,7 @@
             return MessageState(item.expires, None, (), finished=True)
         return MessageState(
             item.expires,
-            self.message_classes.get(item.class_name),
+            item.message_class,
             self.maybe_ran(item.number),
             message.finished or item.reported,
             item.id in self._journal.live,
@@ -79,6 +77,5 @@
         return min(call.times_out_at, max(latest))
 
     def _repeat_until(self, call: Call, item: CallItem) -> float:
-        message_class = self.message_classes.get(item.class_name)
-        until = send_guard.repeat_until(message_class, self.maybe_ran(item.number), call.hop.entry.zone)
+        until = send_guard.repeat_until(item.message_class, self.maybe_ran(item.number), call.hop.entry.zone)
         return -math.inf if isinstance(until, Refusal) else until
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -78,7 +78,6 @@
         self.counts: Counter[tuple[str, str]] = Counter()  # for metrics, by kind and label
         self.monitor = SendMonitor(self.rules.drain_grace, _log_violation)
         state = SendState(self.rules, self.table, journal, self.pending, self.waits)
-        state.message_classes = dict(zip(names.class_names, self.rules.message_classes, strict=False))
         self.outcomes = MessageOutcomes(
             journal, self.pending, fronts, self.counts, state, self.monitor, clock.now
         )
@@ -221,15 +220,18 @@
         for stored in messages:
             if stored.id in self.numbers_by_id:
                 continue
-            message = self._add_pending(stored, self.journal.time.monotonic(stored.expires))
+            number = self.names.known_class(stored.class_name)
+            message_class = None if number is None else self.rules.message_classes[number]
+            expires = self.journal.time.monotonic(stored.expires)
+            message = self._add_pending(stored, expires, message_class)
             self.monitor.restored(stored.id, self.attempts.state.maybe_ran(message.number))
             if stored.notice is not None:  # abandoned by the other process, whose notice may be lost
                 message.finished = True
                 self.outcomes.report(message, stored.notice)
             elif (outcome := outcome_without_class(stored, self.names)) is not None:
                 self.outcomes.abandon(message, outcome)
-            else:
-                self._backlog.add(message, self.names.class_names.index(stored.class_name), self.journal.time)
+            elif number is not None:
+                self._backlog.add(message, number, self.journal.time)
         if messages:
             log.info("restored", extra=kv(messages=len(messages), cut_bytes=self.journal.truncated_bytes))
         self._schedule_turn()
@@ -335,13 +337,12 @@
         self._review_by(change.review_at)
 
     def apply_settings(self, rules: io.Settings, names: SettingNames) -> None:
-        """Apply the settings of a reloaded file. Pending messages keep the class that they have."""
+        """Apply the settings of a reloaded file, in which each number keeps its meaning (`keep_numbers`).
+        Messages keep the class under which their command was read.
+        """
         self.policy.settings = self.rules = self.attempts.state.rules = self.admission.rules = rules
         self.table.balancers = rules.balancers
         self.names = self.admission.names = names
-        self.attempts.state.message_classes = dict(
-            zip(names.class_names, rules.message_classes, strict=False)
-        )
         self.monitor.drain_grace_s = rules.drain_grace
 
     def set_detached(self, detached: set[str]) -> None:
@@ -440,10 +441,13 @@
             submission.answer(answer)
             return None
         expires = now + submission.remaining_s
-        return self._add_pending(self.admission.stored(submission, expires), expires)
+        message_class = self.rules.message_classes[submission.message_class]
+        return self._add_pending(self.admission.stored(submission, expires), expires, message_class)
 
-    def _add_pending(self, stored: StoredMessage, expires: float) -> PendingMessage:
-        message = self.pending.add(stored, expires)
+    def _add_pending(
+        self, stored: StoredMessage, expires: float, message_class: io.MessageClass | None
+    ) -> PendingMessage:
+        message = self.pending.add(stored, expires, message_class)
         if self.scope is not None:
             self.scope.message_added(stored.dest)
         self._timers.watch(expires + _OVERDUE_AFTER_S, message.number)
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -11,6 +11,7 @@
 from mountgauge.connections.settings import platform_settings
 from mountgauge.core.config import Config, ConfigError
 from mountgauge.core.list_lease import LeaseEnd
+from mountgauge.core.setting_numbers import NumberedSettings, keep_numbers
 from mountgauge.log import kv
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
@@ -80,16 +81,20 @@
             self.notices.move(config.discovery)
             self.discovery.move(config.discovery)
         if config.settings != old.settings:
-            self.sender.apply_settings(config.rules, config.names)
-            self.discovery.apply_settings(config.names, WatchBounds.of(config.rules))
-            self._evidence.apply_settings(config.rules)
-            self.front.set_classes(
-                config.names.class_names,
-                [message_class.deadline for message_class in config.rules.message_classes],
-            )
-            classes, attempts = ",".join(config.names.class_names), config.rules.attempts_cap
-            log.info("retuned", extra=kv(classes=classes, attempts=attempts))
+            self._apply_settings(config)
         needs = [name for name in _RESTART_ONLY if getattr(config, name) != getattr(old, name)]
         for subsystem in self.subsystems:
             needs += subsystem.reload(config)
         self._log_reload(needs)
+
+    def _apply_settings(self, config: Config) -> None:
+        in_force = NumberedSettings(self.sender.rules, self.sender.names)
+        numbered = keep_numbers(in_force, NumberedSettings(config.rules, config.names))
+        rules, names = numbered.rules, numbered.names
+        self.sender.apply_settings(rules, names)
+        self.discovery.apply_settings(names, WatchBounds.of(rules))
+        self._evidence.apply_settings(rules)
+        deadlines = [message_class.deadline for message_class in rules.message_classes]
+        self.front.set_classes(names.class_numbers(), deadlines)
+        classes = ",".join(config.names.class_names)
+        log.info("retuned", extra=kv(classes=classes, attempts=rules.attempts_cap))
