Let a failure in one message's turn cost no other message its turn

Cause: an exception for one submission ended Sender.turn in the middle; the events and actions behind it were lost, among them orders to call, whose slots the module then counts as used for good. Change: a failing submission is rejected, a failing action is logged, an attempt that can't be made is moot for the module. Why it works: each step of the turn ends by itself, and what the module waits for is always reported.

--- a/mountgauge/core/attempts.py
+++ b/mountgauge/core/attempts.py
@@ -79,13 +79,34 @@
         self.parked: list[Call] = []
 
     def issue(self, action: io.Issue, now: float, calls: CallBatches) -> None:
-        """Add a message to a call; `start` follows when the turn has added all of them."""
+        """Add a message to a call; `start` follows when the turn has added all of them. The module hears at
+        once of an attempt that can't be made: else it would count it as in flight for good.
+        """
         message = self._pending.get(action.msg_id)
-        hop = self._table.hops.get(action.endpoint.decode())
         send_no = 0
         if message is not None:
             send_no = message.issued
             message.issued += 1
+        try:
+            added = self._add_to_call(message, send_no, action, now, calls)
+        except Exception:
+            log.exception("issue-failed", extra=kv(action=action))
+            added = False
+        if not added:
+            self._respond(action.msg_id, send_no, action.endpoint, 0.0, AttemptResult(Outcome.MOOT))
+
+    def _add_to_call(
+        self,
+        message: PendingMessage | None,
+        send_no: int,
+        action: io.Issue,
+        now: float,
+        calls: CallBatches,
+    ) -> bool:
+        """Whether the attempt may be made: else the decision was made on an older state, and would put a
+        second call of the message in flight, or send it to another destination's endpoint.
+        """
+        hop = self._table.hops.get(action.endpoint.decode())
         if (
             message is None
             or message.finished
@@ -93,10 +114,7 @@
             or hop is None
             or hop.entry.owner != message.stored.dest
         ):
-            # The decision was made on an older state. It would put a second call of the message in flight, or
-            # send it to another destination's endpoint.
-            self._respond(action.msg_id, send_no, action.endpoint, 0.0, AttemptResult(Outcome.MOOT))
-            return
+            return False
         stored = message.stored
         item = CallItem(
             message.number,
@@ -112,6 +130,7 @@
         if (full := calls.full(hop)) is not None:
             self.start(full)
         message.call = calls.add(item, hop, times_out_at)
+        return True
 
     def start(self, call: Call) -> None:
         self.slots_used += 1
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -416,7 +416,7 @@
                 # The same id twice in one turn: whether the first is accepted is known at its end.
                 self._ready.append(one)
                 self._schedule_turn()
-            elif (message := self._admit_submission(one, now)) is not None:
+            elif (message := self._try_admission(one, now)) is not None:
                 fresh[message.number] = one, message
                 event = io.Incoming(
                     message.number, 0, message.expires, 0, 0.0, one.dest, one.message_class, 0
@@ -435,6 +435,17 @@
             log.exception("module-failed", extra=kv(on=event))
             return []
 
+    def _try_admission(self, submission: Submission, now: float) -> PendingMessage | None:
+        """Admit a submission. If that fails, it alone is rejected: the turn's other events and clients must
+        not lose their turn.
+        """
+        try:
+            return self._admit_submission(submission, now)
+        except Exception:
+            log.exception("submission-failed", extra=kv(id=submission.id))
+            submission.answer(MessageOutcome(Status.DEFERRED))
+            return None
+
     def _admit_submission(self, submission: Submission, now: float) -> PendingMessage | None:
         """Add a message that the module has to decide on; None if it was answered at once."""
         if (answer := self.admission.immediate_answer(submission, now)) is not None:
@@ -490,32 +501,38 @@
     def _carry_out(self, actions: list[io.Action], now: float) -> None:
         calls = CallBatches(now, self.rules.kind_batch)
         for action in actions:
-            match action:
-                case io.Issue():
-                    self.attempts.issue(action, now, calls)
-                case io.Schedule(delay, token):
-                    self._timers.ring(now + delay, token)
-                case io.PushBack(number):
-                    self.outcomes.abandon(self.pending.get(number), _deferred(action))
-                case io.Abort(number):
-                    self.outcomes.abandon(self.pending.get(number), MessageOutcome(Status.UNDELIVERABLE))
-                case io.Watch(on):
-                    self.map.watch(on)
-                case io.Snapshot():
-                    self.map.snapshot()
-                case io.Close(endpoint):
-                    self.next_hops.close_idle(endpoint.decode())
-                case io.StopAttempt(number):
-                    message = self.pending.get(number)
-                    if message is not None and message.call is not None and len(message.call.items) == 1:
-                        self.attempts.cancel(message.call)
-                case io.WriteLog(line):
-                    log.info("module", extra=kv(line=line))
-                case _:
-                    log.error("action-not-allowed", extra=kv(action=action))
+            try:
+                self._perform(action, now, calls)
+            except Exception:  # this action alone is lost
+                log.exception("action-failed", extra=kv(action=action))
         for call in calls:
             self.attempts.start(call)
 
+    def _perform(self, action: io.Action, now: float, calls: CallBatches) -> None:
+        match action:
+            case io.Issue():
+                self.attempts.issue(action, now, calls)
+            case io.Schedule(delay, token):
+                self._timers.ring(now + delay, token)
+            case io.PushBack(number):
+                self.outcomes.abandon(self.pending.get(number), _deferred(action))
+            case io.Abort(number):
+                self.outcomes.abandon(self.pending.get(number), MessageOutcome(Status.UNDELIVERABLE))
+            case io.Watch(on):
+                self.map.watch(on)
+            case io.Snapshot():
+                self.map.snapshot()
+            case io.Close(endpoint):
+                self.next_hops.close_idle(endpoint.decode())
+            case io.StopAttempt(number):
+                message = self.pending.get(number)
+                if message is not None and message.call is not None and len(message.call.items) == 1:
+                    self.attempts.cancel(message.call)
+            case io.WriteLog(line):
+                log.info("module", extra=kv(line=line))
+            case _:
+                log.error("action-not-allowed", extra=kv(action=action))
+
 
 def _log_violation(violation: Violation) -> None:
     log.error("invariant-violated", extra=kv(rule=violation.rule, id=violation.message, why=violation.why))
