Tell the decision module of waits that the other process of a hand-over was told

Cause: the waits of the other process reached the guard's table, not the module, which ordered calls that the guard withheld and counted each as an attempt. Evidence: a sender with such a wait orders a call at once and uses up the message's attempts; with the new lines taken out, the new test fails in both kinds. Change: Sender.apply_waits passes longer waits to the module as Remembered, for a destination or for one endpoint with a limit of its own. Why it works: the module then plans with the same wait that the guard enforces.

--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from mountgauge.core import shared_waits
 from mountgauge.core.admission import Admission
 from mountgauge.core.attempts import Attempts
 from mountgauge.core.batching import CallBatches
@@ -297,6 +298,21 @@
         """Pass on what a previous process run knew of a destination."""
         self._enqueue(fact)
 
+    def apply_waits(self, waits: dict[object, float]) -> bool:
+        """Observe waits that endpoints required of another process of this sender, until times of the
+        sender's clock: the guard withholds calls, and the module plans none. Returns whether any is longer
+        than what was known.
+        """
+        now = self.clock.now()
+        longer = {limit: until for limit, until in waits.items() if until > self.waits.get(limit, now)}
+        for limit, until in longer.items():
+            hop = self.table.hops.get(str(limit))
+            if isinstance(limit, int):
+                self.remember(io.Remembered(limit, until - now, math.inf))
+            elif hop is not None:
+                self.remember(io.Remembered(hop.entry.owner, until - now, math.inf, hop.entry.endpoint))
+        return shared_waits.merge(self.waits, longer)
+
     def _enqueue(self, event: io.Event) -> None:
         self._ready.append(event)
         self._schedule_turn()
--- a/mountgauge/run/handover.py
+++ b/mountgauge/run/handover.py
@@ -131,5 +131,5 @@
             except (OSError, ValueError) as error:
                 log.warning("waits-not-read", extra=kv(path=path.name, error=error))
                 continue
-            if shared_waits.merge(self.sender.waits, waits):
+            if self.sender.apply_waits(waits):
                 log.info("waits-heard", extra=kv(waits=len(waits)))
--- a/rillspindle/interface.py
+++ b/rillspindle/interface.py
@@ -80,11 +80,12 @@
 
 
 class Remembered(NamedTuple):
-    """What a previous run knew of a destination: a required wait still running, a lowered send rate limit."""
+    """What another process knew of a destination: a required wait still running, a lowered rate limit."""
 
     dest: int
     wait: float  # s from now
     rate_limit: float  # send rate limit, calls/s of this node; infinite: none
+    endpoint: EndpointId = b""  # if it concerns the route of this endpoint alone
 
 
 class Restored(NamedTuple):
--- a/rillspindle/policy.py
+++ b/rillspindle/policy.py
@@ -77,8 +77,9 @@
                 self._handle_timer(token)
             case io.Targets():
                 self._list(event)
-            case io.Remembered(dest_id, wait, limit):  # may only make a start more careful
-                route = self.catalog.dest(dest_id).route
+            case io.Remembered(dest_id, wait, limit, endpoint):  # may only make a start more careful
+                known = self.endpoints.get(endpoint)
+                route = self.catalog.dest(dest_id).route if known is None else known.route
                 route.wait_until, route.rate_limit = (
                     max(route.wait_until, now + wait),
                     min(route.rate_limit, limit),
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -114,6 +114,25 @@
     return made
 
 
+@pytest.mark.parametrize("kind", [0, 1])
+def test_a_wait_that_another_process_was_told_uses_up_no_attempts(tmp_path: Path, kind: int) -> None:
+    """Guards against orders to call that the guard withholds: the module knew nothing of the wait, and spent
+    all attempts of the destination's messages on it.
+    """
+    bench = Bench(tmp_path)
+    bench.sender.start(bench.hops(Readiness.READY, kind=kind))
+    bench.pass_time(0.01)
+    limit: object = 7 if kind == 0 else "h0"  # endpoints of the second kind have limits of their own
+    assert bench.sender.apply_waits({limit: bench.time + 2.0})
+    assert not bench.sender.apply_waits({limit: bench.time + 1.0})
+    bench.submit("a")
+    bench.pass_time(1.9)
+    assert bench.calls == [] and bench.answers["a"] == Accepted()
+    bench.pass_time(0.3)
+    (call,) = bench.calls
+    assert call.items[0].send_no == 0 and bench.sender.admit(call, call.items)
+
+
 def test_another_endpoint_with_a_known_id_inherits_no_state(bench: Bench) -> None:
     """As the id was known, the new endpoint used to get the old one's health, destination and connections."""
     closed: list[str] = []
