Date the list of a refused start by the saved evidence of the process before

Cause: ListLease.refused_at_start dated the list by the start of the process; nothing said how old it was. Why it works: no change of the list is older than the date that it gets, so it ends before any change is overdue. Ruled out: that a 503 at once shows an outage (a lead): between answers of the same moment, discovery rejects calls in 25 to 47 ms.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -14,7 +14,8 @@
   process has the rule's time from its start to be refused.
 
 Silence, a slow or lost answer, a connection that is not established, an error of this machine, and the list
-that a process is started with extend nothing: they have no time, or prove nothing.
+that a process is started with extend nothing: they have no time, or prove nothing. If the process before has
+saved when that list was last confirmed, an error answer at the start lets it count as of then.
 
 An answer that was lost on its way ends the lease at once, as what it reported counts already (`Loss`). Only
 evidence from a call made after that restores it: a complete answer, or after a possible loss also a refusal.
@@ -111,6 +112,7 @@
     def __init__(self, terms: LeaseTerms) -> None:
         self.terms = terms
         self._evidence_at = self._started_at = -inf
+        self._start_list_confirmed_at = -inf  # the list that the process was started with
         self._lost: _LostAnswer | None = None
         self._breaking_since: float | None = None  # when the first call broke after the newest answer
         self._moved_at: float | None = None  # until the new address has answered
@@ -126,14 +128,31 @@
         """Whether an answer was lost, and no newer evidence has made up for it."""
         return self._lost is not None
 
+    @property
+    def is_moving(self) -> bool:
+        """Whether the source has another address, which has not answered yet."""
+        return self._moved_at is not None
+
     @property
     def renewed_by(self) -> float:
         """By when further evidence has to come; -inf if there has been none."""
         return self._evidence_at + self.terms.term_s
 
-    def process_started(self, now: float) -> None:
-        """Note the start of the process, with a list of unknown age."""
+    @property
+    def outlasting_evidence_at(self) -> float | None:
+        """The time from which the evidence counts for a next process too; None if there is none, or if only
+        an answer can restore the lease.
+        """
+        evidence_at = max(self._evidence_at, self._start_list_confirmed_at)
+        if evidence_at == -inf or self._lost is not None or self._moved_at is not None:
+            return None
+        return evidence_at
+
+    def process_started(self, now: float, list_confirmed_at: float | None = None) -> None:
+        """Note the start of the process with a list that was last confirmed then; None if that is unknown."""
         self._started_at = max(self._started_at, now)
+        if list_confirmed_at is not None:
+            self._start_list_confirmed_at = min(now, list_confirmed_at)
 
     # Evidence
 
@@ -159,10 +178,11 @@
 
     def refused_at_start(self) -> None:
         """Note that a call was refused by an error answer. If there is no evidence yet, the list that the
-        process was started with counts as of its start, and no longer, however often that happens.
+        process was started with counts as of when it was last confirmed, and no longer, however often that
+        happens. If that is unknown, it counts as nothing: a change may be of any time before the start.
         """
-        if self._evidence_at == -inf:
-            self.call_refused(self._started_at)
+        if self._evidence_at == -inf and self._start_list_confirmed_at > -inf:
+            self.call_refused(self._start_list_confirmed_at)
 
     # Early ends
 
--- a/mountgauge/platform/discovery.py
+++ b/mountgauge/platform/discovery.py
@@ -21,8 +21,10 @@
 from mountgauge.lease_log import LeaseLog
 from mountgauge.log import kv
 from mountgauge.platform.call_log import CallEvent, CallLog
+from mountgauge.platform.evidence_file import EvidenceFile
 from mountgauge.platform.list_call import DroppedCall, DropReason, Failure, ListCall
 from mountgauge.platform.list_exchange import ListExchange
+from mountgauge.platform.saved_evidence import DatedList
 from mountgauge.platform.watch import DiscoveryWatch
 from mountgauge.platform.watch_bounds import WatchBounds
 from rillspindle.list_evidence import AnsweredCall, ListEvidence, RefusedCall
@@ -50,9 +52,13 @@
         bounds: WatchBounds,
         rng: Random | None = None,
         evidence: ListEvidence | None = None,
+        evidence_file: EvidenceFile | None = None,
     ) -> None:
-        """`evidence`: the run-time check's own record of how the calls end."""
+        """`evidence`: the run-time check's own record of how the calls end. `evidence_file`: where the
+        evidence for the list outlasts the process.
+        """
         self._evidence = evidence
+        self._evidence_file = evidence_file
         self._owner, self._address, self._names = owner, address, names
         self._watch = DiscoveryWatch(bounds, rng or Random())
         self._exchanges: dict[ListCall, ListExchange] = {}
@@ -66,13 +72,26 @@
     def watch(self, on: bool) -> None:
         """Start or stop watching the list."""
         if on:
-            self._watch.start(self._now())
-            if self._evidence is not None:
-                self._evidence.started(self._now())
+            self._start()
         else:
             self._watch.stop(self._now())
         self._step()
 
+    def _start(self) -> None:
+        now = self._now()
+        if self._watch.never_started:
+            dated = self._date_start_list()
+            if self._evidence is not None:
+                self._evidence.started(now, None if dated is None else dated.confirmed_at)
+            self._watch.process_started(now, dated)
+        self._watch.start(now)
+
+    def _date_start_list(self) -> DatedList | None:
+        """Date the list that this process was started with; None if its age is unknown."""
+        if self._evidence_file is None:
+            return None
+        return self._evidence_file.date_list(self._address, self._owner.version)
+
     def snapshot(self) -> None:
         """Request the full list now, beside a watch in flight, which may wait long for a change."""
         self._watch.request_full_list(self._now())
@@ -259,8 +278,18 @@
             kept = self._take_kept_connection()
             self._calls.made(call, kept is not None)
             exchange.begin(kept)
+        self._save_evidence()
         self._schedule_poll()
 
+    def _save_evidence(self) -> None:
+        if self._evidence_file is None or not self._watch.on:
+            return
+        if self._watch.is_moving:
+            self._evidence_file.keep_only_for(self._owner.version)
+        else:
+            confirmed_at = self._watch.outlasting_evidence_at
+            self._evidence_file.save(confirmed_at, self._address, self._owner.version)
+
     def _close_call(self, dropped: DroppedCall, now: float) -> None:
         call = dropped.call
         if (exchange := self._exchanges.pop(call, None)) is None:
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -37,6 +37,7 @@
     answer_evidence_at,
     refusal_evidence_at,
 )
+from mountgauge.platform.saved_evidence import DatedList
 from mountgauge.platform.watch_bounds import (
     ANSWER_MARGIN_S,
     IMMEDIATE_ANSWER_S,
@@ -123,6 +124,35 @@
         """
         return self.failures > 0 and self._lease.end_reason(now) is LeaseEnd.NO_EVIDENCE
 
+    @property
+    def outlasting_evidence_at(self) -> float | None:
+        """The time from which the evidence for the list counts for a next process too; None if there is none.
+        What an agent has counts from the first moment of a process.
+        """
+        return None if self.bounds.pushed else self._lease.outlasting_evidence_at
+
+    @property
+    def never_started(self) -> bool:
+        """Whether no call has been made yet."""
+        return self._number == 0
+
+    @property
+    def is_moving(self) -> bool:
+        """Whether discovery has moved, its new address has not answered, and no answer has been lost."""
+        return self._lease.is_moving and not self._lease.lacks_answer
+
+    def process_started(self, now: float, dated: DatedList | None) -> None:
+        """Note the start of the process, and the date of the list that it was started with, if it is known.
+
+        After a move changes count as notified sooner: the list counts as if it were older by the difference.
+        """
+        if dated is None:
+            self._lease.process_started(now)
+            return
+        terms = self._lease.terms
+        sooner_s = max(0.0, terms.notified_s - terms.notified_after_move_s) if dated.moved else 0.0
+        self._lease.process_started(now, dated.confirmed_at - sooner_s)
+
     def start(self, now: float) -> None:
         """Start watching; does nothing if the watch is on."""
         if not self._on:
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -16,9 +16,10 @@
 from mountgauge.next_hops import HttpNextHops
 from mountgauge.notices import Notices
 from mountgauge.platform.discovery import TransportMap
+from mountgauge.platform.evidence_file import EvidenceFile
 from mountgauge.platform.watch_bounds import WatchBounds
 from mountgauge.router import Router
-from mountgauge.run.base import Runtime, socket_shares
+from mountgauge.run.base import LoopClock, Runtime, socket_shares
 from rillspindle.list_evidence import ListEvidence
 
 log = logging.getLogger("mountgauge.run")
@@ -41,7 +42,10 @@
         random = Random(config.seed)
         self._evidence = self.sender.monitor.evidence = ListEvidence(rules)
         bounds = WatchBounds.of(rules)
-        self.discovery = TransportMap(self.sender, config.discovery, names, bounds, random, self._evidence)
+        evidence_file = EvidenceFile(config.state, LoopClock())
+        self.discovery = TransportMap(
+            self.sender, config.discovery, names, bounds, random, self._evidence, evidence_file
+        )
         self._recheck: asyncio.TimerHandle | None = None
         self.sender.list_lease = self._lease_end_reason
         self.sender.admission.isolated = self.discovery.isolated
--- a/rillspindle/list_evidence.py
+++ b/rillspindle/list_evidence.py
@@ -67,12 +67,14 @@
         self._newest = -math.inf
         self._lost_at = math.inf
         self._down = False  # a watch was ended, and each call since was refused
-        self._started_at: float | None = None
+        self._start_list_confirmed_at = -math.inf
 
-    def started(self, at: float) -> None:
-        """The process starts to request lists."""
-        if self._started_at is None:
-            self._started_at = at
+    def started(self, at: float, list_confirmed_at: float | None = None) -> None:
+        """The process starts to request lists. `list_confirmed_at`: when the list that it was started with
+        was last confirmed; None if that is unknown.
+        """
+        if list_confirmed_at is not None:
+            self._start_list_confirmed_at = min(at, list_confirmed_at)
 
     def apply_settings(self, settings: Settings) -> None:
         """Use other settings from now on."""
@@ -93,15 +95,15 @@
     def refused(self, call: RefusedCall) -> None:
         """Discovery ended a call. A watch that was ended shows an outage, and so does each refusal after it.
         A 503 alone may mean too many calls: it confirms only the list that a new process started with, as of
-        its start.
+        when that was last confirmed.
         """
         self._down = self._down or call.was_waiting
         if not self._settings.subscribe:
             return
         if self._down or not call.has_answer:
             self._newest = max(self._newest, call.confirmed_at)
-        elif self._started_at is not None:
-            self._newest = max(self._newest, self._started_at)
+        else:
+            self._newest = max(self._newest, self._start_list_confirmed_at)
 
     def unanswered(self) -> None:
         """A call was not answered in time: if discovery was down, it may be up again."""
