Accept clients only once a new process has a list, for 3 s at most

Cause: a process was ready at once, so it was used before it had any list; messages had to be rejected, or held. Change: listening begins once the list may be used, or 3 s after the start. SIGTERM and SIGINT are handled while a start waits; they were blocked until the process served, also while it waited for its folder. Why it works: what is not ready is not used, and others take the messages.

--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -38,6 +38,9 @@
 _SEND_UNTIL_S = 3.0  # new attempts are sent
 _EXIT_AT_S = 3.35  # attempts that are still in flight are left to the journal
 _SUCCESSOR_UNTIL_S = 1.5  # clients are answered, where a newer process takes over
+# A new process waits for a list for so long before it accepts clients; it has to be ready within 10 s.
+_LIST_WAIT_S = 3.0
+_LIST_CHECK_INTERVAL_S = 0.01
 
 
 class LoopClock(SystemClocks):
@@ -186,8 +189,14 @@
 
     # Start and shutdown
 
-    async def start(self) -> None:
-        """Start the subsystems, the core and the listeners, in this order."""
+    def has_list(self) -> bool:
+        """Whether the list may be used, so that accepted messages can be sent."""
+        return True
+
+    async def start(self, stop_requested: asyncio.Event | None = None) -> None:
+        """Start the subsystems, the core and the listeners, in this order; a requested stop ends the wait
+        for a list.
+        """
         for subsystem in self.subsystems:
             await subsystem.start()
         self.sender.start(self.config.known)
@@ -198,12 +207,23 @@
         await self.handover.begin()
         if self.service is not None:
             self.service.reload_detached()
+        await self._await_list(stop_requested)
         for listener, address in self.listeners:
             await listener.listen(address.host, address.port)
         self.accepting = True
         for subsystem in self.subsystems:
             await subsystem.serve()
 
+    async def _await_list(self, stop_requested: asyncio.Event | None) -> None:
+        """Become ready only with a list that may be used, for a bounded time: until then every message would
+        have to wait or be rejected, while other senders may have a list.
+        """
+        until = time.monotonic() + _LIST_WAIT_S
+        while not self.has_list() and time.monotonic() < until:
+            if stop_requested is not None and stop_requested.is_set():
+                return
+            await asyncio.sleep(_LIST_CHECK_INTERVAL_S)
+
     @property
     def needs_polling(self) -> bool:
         """Whether another process may share the folder or operators may call; else there are no wakeups."""
--- a/mountgauge/run/platform.py
+++ b/mountgauge/run/platform.py
@@ -61,6 +61,9 @@
         self.add_console(self.front)
         self.attach_peers()
 
+    def has_list(self) -> bool:
+        return self.discovery.lease_end_reason() is None
+
     def _lease_end_reason(self, dest: int) -> LeaseEnd | None:
         """Why the list allows no call at present, if so; waiting calls are then retried soon."""
         end_reason = self.discovery.lease_end_reason()
--- a/mountgauge/run/serve.py
+++ b/mountgauge/run/serve.py
@@ -22,6 +22,7 @@
 log = logging.getLogger("mountgauge.run")
 
 _STATE_INTERVAL_S = 5.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _START_RETRY_S = 0.25  # between two attempts to start while the folder or the file cannot be read
 _TRANSIENT_ERRNOS = {
     errno.EIO,
@@ -105,12 +106,13 @@
     """
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stop_requested.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _STOP_SIGNALS)  # a start that waits can be stopped
     if (runtime := await make_with_retries(make, stop_requested)) is None:
         block_signals()
         return
-    await runtime.start()
+    await runtime.start(stop_requested)
     loop.add_signal_handler(signal.SIGHUP, runtime.reload)  # only now is there anything to reload
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     # Objects that live as long as the process are not scanned again, which keeps later collections short.
