Use a connection again only after 50 ms of quiet, so that no copy answers the next call

Cause: a connection was given out again at once; a copy that was still on its way arrived when the next call was out on it and was taken for its answer. A copied 503 freed a call that ran; a copied 200 ended a message that was then answered 503; answers stayed one behind. Evidence: in the records the copy comes 6 to 13 ms after the answer and the next call 5 to 11 ms after it; an endpoint that sends each answer again 0 to 30 ms later gives wrong outcomes in four of four plays on (test_answer_copies). Change: idle connections are taken once they have been quiet for QUIET_S; a call waits for the first of them, or goes to a new one. A batch answer that does not name its call's messages closes the connection. Notices wait between batches. Unsolicited data is logged. Why it works: what an endpoint sends right after an answer arrives while no call is out on the connection, and closes it. Result: six new tests fail on (four plays, a batch that names others, a lost notice), pass; two of AMQP, whose confirms name their publish, pass before as well. Tests of next hops, product, notices, attempts, both protocols and http1 pass.

--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -22,6 +22,10 @@
 _RECEIVE_BUFFER = bytearray(64 * 1024)  # shared: the data is copied out before the event loop reads again
 
 
+# A peer may send an answer a second time, or noise, right after it. A connection is reused only once it has
+# been quiet for so long: what arrives meanwhile belongs to no call, and closes the connection.
+QUIET_S = 0.05
+
 _INT = struct.Struct("i")
 _CHUNK_SIZE = re.compile(r"[0-9a-fA-F]{1,15}")
 
@@ -269,6 +273,7 @@
         self.idle_since = 0.0
         self.flushed = True  # the call's last byte has been written to the socket
         self.overdue = False  # an answer was not complete in time
+        self.got_unsolicited_data = False  # while no call was in flight
         self.slot = LeaseSlot()  # for the socket of this connection
         self._lost = lost
         self._max_body_bytes = max_body_bytes
@@ -340,6 +345,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.state is not State.BUSY:  # unsolicited data could be taken for the next call's answer
+            self.got_unsolicited_data = True
             self.close()
             return
         try:
@@ -418,9 +424,12 @@
         port: int,
         max_body_bytes: int = 1 << 20,
         completion_timeout_s: float | None = None,
+        quiet_s: float = 0.0,
     ) -> None:
+        """`quiet_s`: how long the connection has to be quiet before it is used again (`QUIET_S`)."""
         self.host, self.port = host, port
         self._max_body_bytes, self._completion_timeout_s = max_body_bytes, completion_timeout_s
+        self._quiet_s = quiet_s
         self._connection: Connection | None = None
 
     def close(self) -> None:
@@ -439,6 +448,8 @@
         """
         loop = asyncio.get_running_loop()
         connection = self._connection
+        if connection is not None and connection.state is State.IDLE and self._quiet_s:
+            await asyncio.sleep(connection.idle_since + self._quiet_s - loop.time())
         if connection is None or connection.state is not State.IDLE or not connection.has_no_unread_data:
             self.close()
             new = Connection(self._forget, self._max_body_bytes, self._completion_timeout_s)
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import base64
+import contextlib
 import logging
 import math
 from bisect import bisect
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import orjson
 
 from mountgauge.connecting import connect
 from mountgauge.core.ports import AttemptResult, Call, CallItem, CallOwner, NextHop
-from mountgauge.http1 import Connection, Message, State, request, retry_after_s
+from mountgauge.http1 import QUIET_S, Connection, Message, State, request, retry_after_s
+from mountgauge.log import LogRateLimiter, kv
 from rillspindle.interface import Outcome
 
 log = logging.getLogger("mountgauge.next_hops")
@@ -82,7 +84,7 @@
     stopped: Outcome | None = None  # set if the sender itself ended the call
     idle_s: float | None = None  # how long its reused connection had been idle; None for a new one
     close_after: bool = False  # close its connection after the call, as the endpoint was removed
-    local_shortage: bool = False  # no descriptor or port on this machine: says nothing about its endpoint
+    waits_locally: bool = False  # for a reason that says nothing about its endpoint
 
 
 class HttpNextHops:
@@ -100,24 +102,45 @@
         self._open = 0
         self._open_calls: dict[Call, _OpenCall] = {}
         self._reuse = ReuseStatistics()
+        self._lines = LogRateLimiter(asyncio.get_running_loop().time)
         self.opened = 0
 
     # The pool
 
     def _take_idle(self, key: PoolKey) -> Connection | None:
+        """Take the connection that was used last among those that have been quiet for long enough."""
         pool = self._pools.get(key, [])
-        now = asyncio.get_running_loop().time()
-        while pool:
-            connection = pool.pop()
-            fresh = connection.state is State.IDLE and now - connection.idle_since < self._max_idle_s
-            if fresh and connection.has_no_unread_data and self._reuse.usable(now - connection.idle_since):
+        for connection in reversed(list(pool)):
+            if self._quiet_in_s(connection) > 0:
+                continue
+            if self._usable(connection):
+                pool.remove(connection)
                 return connection
             connection.close()
         return None
 
+    def _take_soon_quiet(self, key: PoolKey) -> Connection | None:
+        """Take the connection that will be the first to have been quiet for long enough."""
+        pool = self._pools.get(key, [])
+        return pool.pop(0) if pool else None
+
+    @staticmethod
+    def _quiet_in_s(connection: Connection) -> float:
+        """The time until the connection has been quiet for long enough, if nothing arrives on it."""
+        return connection.idle_since + QUIET_S - asyncio.get_running_loop().time()
+
+    def _usable(self, connection: Connection) -> bool:
+        """Whether a call may be sent on an idle connection."""
+        idle_s = asyncio.get_running_loop().time() - connection.idle_since
+        fresh = connection.state is State.IDLE and idle_s < self._max_idle_s
+        return fresh and connection.has_no_unread_data and self._reuse.usable(idle_s)
+
     def _lost(self, key: PoolKey) -> Callable[[Connection], None]:
         def lost(connection: Connection) -> None:
             self._open -= 1
+            if connection.got_unsolicited_data and self._lines.allow():
+                idle_s = asyncio.get_running_loop().time() - connection.idle_since
+                log.info("unsolicited-answer", extra=kv(hop=key[0], after_ms=round(idle_s * 1000)))
             pool = self._pools.get(key, [])
             if connection in pool:
                 pool.remove(connection)
@@ -181,10 +204,38 @@
         open_call = _OpenCall(call, loop.call_at(call.times_out_at, self._stop_call, call))
         self._open_calls[call] = open_call
         if (connection := self._take_idle(_pool_key(call.hop))) is not None:
-            open_call.connection = connection
-            open_call.idle_s = loop.time() - connection.idle_since
-            self._send(open_call)
-        elif self._free_slot():
+            self._reuse_connection(open_call, connection)
+        elif (connection := self._take_soon_quiet(_pool_key(call.hop))) is not None:
+            open_call.waits_locally = True
+            open_call.task = loop.create_task(self._send_once_quiet(open_call, connection))
+        else:
+            self._send_on_new(open_call)
+
+    def _reuse_connection(self, open_call: _OpenCall, connection: Connection) -> None:
+        open_call.connection = connection
+        open_call.idle_s = asyncio.get_running_loop().time() - connection.idle_since
+        self._send(open_call)
+
+    async def _send_once_quiet(self, open_call: _OpenCall, connection: Connection) -> None:
+        """Send a call on a connection that has not been quiet for long enough, or on a new one if data or
+        the end of the connection comes meanwhile.
+        """
+        try:
+            await asyncio.sleep(self._quiet_in_s(connection))
+        except asyncio.CancelledError:  # timed out or cancelled, before a byte was written
+            connection.close()
+            raise
+        open_call.task, open_call.waits_locally = None, False
+        if self._usable(connection):
+            self._reuse_connection(open_call, connection)
+        else:
+            connection.close()
+            self._send_on_new(open_call)
+
+    def _send_on_new(self, open_call: _OpenCall) -> None:
+        """Send a call on a new connection."""
+        loop, call = asyncio.get_running_loop(), open_call.call
+        if self._free_slot():
             self._open += 1
             self.opened += 1
             connection = Connection(
@@ -206,7 +257,7 @@
         hop = open_call.call.hop
 
         def on_shortage() -> bool:
-            open_call.local_shortage = True
+            open_call.waits_locally = True
             self._close_oldest_idle()
             return True  # try again until the call times out
 
@@ -297,7 +348,12 @@
             result = AttemptResult(Outcome.ERROR, required_wait_s=retry_after_s(message))
             results = {item.number: result for item in open_call.admitted}
         elif len(open_call.admitted) > 1 and message.status == 200:
-            results = _batch_results(open_call, message)
+            states = _batch_states(message)
+            if message.complete and set(states) != {item.id for item in open_call.admitted}:
+                # Perhaps another call's answer: then this call's is still to come, on this connection.
+                log.warning("bad-batch-answer", extra=kv(hop=open_call.call.hop.id, named=len(states)))
+                open_call.close_after = True
+            results = _batch_results(open_call, message, states)
         else:
             result = _result(message)
             results = {item.number: result for item in open_call.admitted}
@@ -320,7 +376,7 @@
             return
         if open_call.task is not None:
             open_call.task.cancel()
-            moot = open_call.local_shortage or outcome == Outcome.CANCELLED
+            moot = open_call.waits_locally or outcome == Outcome.CANCELLED
             not_sent = Outcome.MOOT if moot else Outcome.CONNECT_FAILED
             self._finish(open_call, {item.number: AttemptResult(not_sent) for item in call.items})
         elif open_call.connection is not None:
@@ -390,19 +446,24 @@
             return AttemptResult(Outcome.ERROR, required_wait_s=retry_after_s(message))
 
 
-def _batch_results(open_call: _OpenCall, message: Message) -> dict[int, AttemptResult]:
-    """Return a result for each item. An item that the answer omits, or whose answer was cut off, may have
-    been carried out.
-    """
+def _batch_states(message: Message) -> dict[str, str]:
+    """Return the states in the answer to a batch, by message id; those before the first unreadable one."""
     states: dict[str, str] = {}
     if message.complete:
-        try:
+        with contextlib.suppress(ValueError, TypeError, KeyError):
             for line in orjson.loads(message.body):
                 msg_id, state = str(line["id"]), str(line["state"])
                 # An item with two different states proves neither: it may have been carried out.
                 states[msg_id] = state if states.get(msg_id, state) == state else ""
-        except (ValueError, TypeError, KeyError):
-            log.warning("bad-batch-answer")
+    return states
+
+
+def _batch_results(
+    open_call: _OpenCall, message: Message, states: Mapping[str, str]
+) -> dict[int, AttemptResult]:
+    """Return a result for each item. An item that the answer omits, or whose answer was cut off, may have
+    been carried out.
+    """
     missing = (
         AttemptResult(Outcome.ERROR)
         if message.complete
--- a/mountgauge/notices.py
+++ b/mountgauge/notices.py
@@ -12,7 +12,7 @@
 from mountgauge.connecting import SHORTAGE_RETRY_S, is_local_shortage
 from mountgauge.core.config import Address
 from mountgauge.core.ports import MessageOutcome, Status
-from mountgauge.http1 import Client, request
+from mountgauge.http1 import QUIET_S, Client, request
 from mountgauge.log import kv
 
 log = logging.getLogger("mountgauge.notices")
@@ -32,7 +32,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._client = Client(address.host, address.port)
+        self._client = Client(address.host, address.port, quiet_s=QUIET_S)
         self._unacknowledged: dict[str, tuple[MessageOutcome, Callable[[], None]]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -54,7 +54,7 @@
         """Send to another address: all unacknowledged notices go there at once, also those in flight."""
         self._address = address
         self.close()
-        self._client = Client(address.host, address.port)
+        self._client = Client(address.host, address.port, quiet_s=QUIET_S)
         self._task = asyncio.get_running_loop().create_task(self._run()) if self._unacknowledged else None
 
     def close(self) -> None:
