--- a/mountgauge/lab/rig/runner.py
+++ b/mountgauge/lab/rig/runner.py
@@ -57,6 +57,7 @@
 
     def __init__(self, schedule: Schedule, folder: Path, command: list[str] | None = None) -> None:
         """`command`: the interpreter's arguments in place of `-m mountgauge`, for mutated senders."""
+        folder = folder.resolve()  # members run in their own folders, where a relative path is another one
         self.schedule, self.folder = schedule, folder
         self.events = Events(time.monotonic)
         addresses = dict(zip(schedule.names, hosts(schedule.fleet.members, next(_RIGS)), strict=True))
