Close the connection that a call waited for, also if the call ends before its wait begins

Cause: a task that is cancelled before its first step never enters its `try`, so the connection that it had taken from the pool was neither closed nor given back, and counted as open for good. Evidence: a call that is cancelled at once after its start leaves one connection open (new test, red before in that case; with 20 ms between it passed). Change: the end of the task closes the connection if the task was cancelled. Why it works: the callback runs however far the task has come.

--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -208,6 +208,7 @@
         elif (connection := self._take_soon_quiet(_pool_key(call.hop))) is not None:
             open_call.waits_locally = True
             open_call.task = loop.create_task(self._send_once_quiet(open_call, connection))
+            open_call.task.add_done_callback(_close_if_cancelled(connection))
         else:
             self._send_on_new(open_call)
 
@@ -220,11 +221,7 @@
         """Send a call on a connection that has not been quiet for long enough, or on a new one if data or
         the end of the connection comes meanwhile.
         """
-        try:
-            await asyncio.sleep(self._quiet_in_s(connection))
-        except asyncio.CancelledError:  # timed out or cancelled, before a byte was written
-            connection.close()
-            raise
+        await asyncio.sleep(self._quiet_in_s(connection))
         open_call.task, open_call.waits_locally = None, False
         if self._usable(connection):
             self._reuse_connection(open_call, connection)
@@ -406,6 +403,16 @@
                 connection.close()
 
 
+def _close_if_cancelled(connection: Connection) -> Callable[[asyncio.Task[None]], None]:
+    """Closes the connection that a call waited for, if the call ended meanwhile, or before it waited."""
+
+    def ended(task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            connection.close()
+
+    return ended
+
+
 def _fitting(items: list[CallItem]) -> list[CallItem]:
     """Return the first items that fit into the body of one call; a later call sends the others."""
     size, count = 2, 0
--- a/tests/crossings/test_answer_copies.py
+++ b/tests/crossings/test_answer_copies.py
@@ -99,6 +99,12 @@
         writer.write(response(200, "OK", {}, orjson.dumps(body)))
 
 
+class PlainEndpoint(CopyingEndpoint):
+    """Sends each answer once."""
+
+    def _copy(self, answer: bytes, writer: asyncio.StreamWriter) -> None: ...
+
+
 class Caller:
     """A stand-in for the core that notes the result of each message, and whether its call was out then."""
 
@@ -263,3 +269,28 @@
         await broker.stop()
 
     run(main(), 60)
+
+
+@pytest.mark.parametrize("waits_s", [0.0, 0.02])
+def test_a_call_that_ends_while_it_waits_for_quiet_leaves_no_connection(waits_s: float) -> None:
+    """Guards against connections that nobody owns, also if the call ends before its wait begins."""
+
+    async def main() -> None:
+        endpoint = PlainEndpoint(random.Random(1))
+        await endpoint.start()
+        caller = Caller(endpoint)
+        hops = HttpNextHops(caller, 0.5, 5.0, 8)
+        await chain(hops, caller, 0, 1, random.Random(2), calls=1)
+        now = asyncio.get_running_loop().time()
+        hop = NextHop("h", HOST, endpoint.port, Entry(2, 0, 0, 0, 7, 0, b"h"))
+        call = Call(hop, [CallItem(9, 0, "id9", "k", "note", b"x", now + 60)], now, now + 10.0)
+        hops.start(call)
+        if waits_s:
+            await asyncio.sleep(waits_s)
+        hops.cancel(call)
+        await until(lambda: hops._open == 0, 5.0)
+        assert caller.results["id9"] == Outcome.MOOT and hops.in_flight == 0
+        hops.close()
+        await endpoint.stop()
+
+    run(main(), 20)
