Move the pool of connections to next hops into a module of its own

Behaviour as before. Result: tests of next hops, hop table, attempts, system calls, product and copies pass; the checks in them are the same.

--- a/benchmarks/slopes/hops.py
+++ b/benchmarks/slopes/hops.py
@@ -24,8 +24,8 @@
 def _keep(http: HttpNextHops, hop_id: str) -> None:
     """Add one idle connection."""
     address = (hop_id, "127.0.0.1", 1024)
-    http._pools[address] = [Connection(_on_closed)]
-    http._pool_keys[hop_id] = [address]
+    http._pool._idle[address] = [Connection(_on_closed)]
+    http._pool._keys[hop_id] = [address]
 
 
 def _close_idle(count: int) -> Sample:
@@ -40,15 +40,15 @@
 def _make_room(count: int) -> Sample:
     """A call needs a connection while idle connections use all descriptors."""
     http = HttpNextHops(_Owner(), 1.0, 5.0, 1)
-    http._open = 2
+    http._pool.open = 2
     for number in range(count):
         _keep(http, f"hop-{number}")
-    return lambda: timed(http._free_slot)
+    return lambda: timed(http._pool.has_capacity)
 
 
 PROBES = (
     Probe("hops-close-idle", _close_idle, "mountgauge.next_hops.HttpNextHops.close_idle",
           axis=Axis.CONNECTIONS, sizes=_SIZES),
-    Probe("hops-make-room", _make_room, "mountgauge.next_hops.HttpNextHops._free_slot",
+    Probe("hops-make-room", _make_room, "mountgauge.connection_pool.ConnectionPool.has_capacity",
           axis=Axis.CONNECTIONS, sizes=_SIZES),
 )  # fmt: skip
--- a/mountgauge/next_hops.py
+++ b/mountgauge/next_hops.py
@@ -7,22 +7,20 @@
 import contextlib
 import logging
 import math
-from bisect import bisect
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import orjson
 
 from mountgauge.connecting import connect
-from mountgauge.core.ports import AttemptResult, Call, CallItem, CallOwner, NextHop
-from mountgauge.http1 import QUIET_S, Connection, Message, State, request, retry_after_s
-from mountgauge.log import LogRateLimiter, kv
+from mountgauge.connection_pool import ConnectionPool, pool_key
+from mountgauge.core.ports import AttemptResult, Call, CallItem, CallOwner
+from mountgauge.http1 import Connection, Message, State, request, retry_after_s
+from mountgauge.log import kv
 from rillspindle.interface import Outcome
 
 log = logging.getLogger("mountgauge.next_hops")
 
-# Idle connections are closed this margin before connIdle, after which a call on them would be reset.
-_IDLE_MARGIN_S = 0.25
 _MAX_BODY_BYTES = 64 * 1024
 _ANSWER_COMPLETION_TIMEOUT_S = 0.5  # counted from the first data of an answer
 _MAX_ANSWER_BODY_BYTES = 128 * 1024  # more than any meaningful answer needs
@@ -35,43 +33,6 @@
 }
 
 
-_IDLE_RANGE_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # of the idle times that are counted separately
-_STALE_SHARE_GAIN = 1 / 16  # weight of the newest use in a range's share of stale connections
-_MAX_STALE_SHARE = 0.15  # above it a new connection costs less than the resets
-_RETRIED_EVERY = 16  # above that share, one in so many connections of a range is still reused
-
-
-class ReuseStatistics:
-    """Shares of reused connections that were stale, by their idle time before the reuse.
-
-    Partners close idle connections sooner than they declare.
-    """
-
-    def __init__(self) -> None:
-        self._stale_shares = [0.0] * (len(_IDLE_RANGE_BOUNDS_S) + 1)
-        self._skipped = [0] * len(self._stale_shares)
-
-    def usable(self, idle_s: float) -> bool:
-        """Whether to reuse a connection with this idle time."""
-        index = bisect(_IDLE_RANGE_BOUNDS_S, idle_s)
-        if self._stale_shares[index] <= _MAX_STALE_SHARE:
-            return True
-        self._skipped[index] = (self._skipped[index] + 1) % _RETRIED_EVERY
-        return not self._skipped[index]
-
-    def record(self, idle_s: float, stale: bool) -> None:
-        """Record whether a reused connection was stale, by its idle time before."""
-        index = bisect(_IDLE_RANGE_BOUNDS_S, idle_s)
-        self._stale_shares[index] += _STALE_SHARE_GAIN * (stale - self._stale_shares[index])
-
-
-PoolKey = tuple[str, str, int]  # id, host and port of a next hop, whose address may change
-
-
-def _pool_key(hop: NextHop) -> PoolKey:
-    return hop.id, hop.host, hop.port
-
-
 @dataclass(slots=True, eq=False)
 class _OpenCall:
     """A call that has not finished: in flight on a connection, or waiting for one."""
@@ -95,66 +56,10 @@
     ) -> None:
         self._owner = owner
         self._connect_timeout = connect_timeout
-        self._max_idle_s = max(0.1, conn_idle - _IDLE_MARGIN_S)
-        self._max_connections = max_connections
-        self._pools: dict[PoolKey, list[Connection]] = {}  # idle connections, the newest last
-        self._pool_keys: dict[str, list[PoolKey]] = {}  # by next hop
-        self._open = 0
+        self._pool = ConnectionPool(conn_idle, max_connections)
         self._open_calls: dict[Call, _OpenCall] = {}
-        self._reuse = ReuseStatistics()
-        self._lines = LogRateLimiter(asyncio.get_running_loop().time)
         self.opened = 0
 
-    # The pool
-
-    def _take_idle(self, key: PoolKey) -> Connection | None:
-        """Take the connection that was used last among those that have been quiet for long enough."""
-        pool = self._pools.get(key, [])
-        for connection in reversed(list(pool)):
-            if self._quiet_in_s(connection) > 0:
-                continue
-            if self._usable(connection):
-                pool.remove(connection)
-                return connection
-            connection.close()
-        return None
-
-    def _take_soon_quiet(self, key: PoolKey) -> Connection | None:
-        """Take the connection that will be the first to have been quiet for long enough."""
-        pool = self._pools.get(key, [])
-        return pool.pop(0) if pool else None
-
-    @staticmethod
-    def _quiet_in_s(connection: Connection) -> float:
-        """The time until the connection has been quiet for long enough, if nothing arrives on it."""
-        return connection.idle_since + QUIET_S - asyncio.get_running_loop().time()
-
-    def _usable(self, connection: Connection) -> bool:
-        """Whether a call may be sent on an idle connection."""
-        idle_s = asyncio.get_running_loop().time() - connection.idle_since
-        fresh = connection.state is State.IDLE and idle_s < self._max_idle_s
-        return fresh and connection.has_no_unread_data and self._reuse.usable(idle_s)
-
-    def _lost(self, key: PoolKey) -> Callable[[Connection], None]:
-        def lost(connection: Connection) -> None:
-            self._open -= 1
-            if connection.got_unsolicited_data and self._lines.allow():
-                idle_s = asyncio.get_running_loop().time() - connection.idle_since
-                log.info("unsolicited-answer", extra=kv(hop=key[0], after_ms=round(idle_s * 1000)))
-            pool = self._pools.get(key, [])
-            if connection in pool:
-                pool.remove(connection)
-            if not pool and self._pools.pop(key, None) is not None:
-                self._forget(key)
-
-        return lost
-
-    def _forget(self, key: PoolKey) -> None:
-        keys = self._pool_keys[key[0]]
-        keys.remove(key)
-        if not keys:
-            del self._pool_keys[key[0]]
-
     def _release(self, open_call: _OpenCall, connection: Connection) -> None:
         """Keep the connection of a finished call for reuse, unless it broke or its endpoint was removed."""
         if connection.state is not State.IDLE:
@@ -162,39 +67,13 @@
         if open_call.close_after:
             connection.close()
             return
-        key = _pool_key(open_call.call.hop)
-        if (pool := self._pools.get(key)) is None:
-            pool = self._pools[key] = []
-            self._pool_keys.setdefault(key[0], []).append(key)
-        pool.append(connection)
-        asyncio.get_running_loop().call_later(self._max_idle_s, self._expire, key, connection)
-
-    def _expire(self, key: PoolKey, connection: Connection) -> None:
-        pool = self._pools.get(key, [])
-        now = asyncio.get_running_loop().time()
-        if connection in pool and now - connection.idle_since >= self._max_idle_s - 0.001:
-            connection.close()
-
-    def _free_slot(self) -> bool:
-        """Whether one more connection may be opened. If need be, an idle one is closed, as idle connections
-        must not prevent a call.
-        """
-        if self._open >= self._max_connections:
-            self._close_oldest_idle()
-        return self._open < self._max_connections
-
-    def _close_oldest_idle(self) -> None:
-        idle = [c for pool in self._pools.values() for c in pool]
-        if idle:
-            min(idle, key=lambda c: c.idle_since).close()
+        self._pool.release(pool_key(open_call.call.hop), connection)
 
     def close_idle(self, hop_id: str) -> None:
         """Close the idle connections to this next hop, and each that carries a call after its answer."""
         for open_call in self._open_calls.values():
             open_call.close_after = open_call.close_after or open_call.call.hop.id == hop_id
-        for key in list(self._pool_keys.get(hop_id, ())):
-            for connection in list(self._pools.get(key, [])):
-                connection.close()
+        self._pool.close_hop(hop_id)
 
     # Calls
 
@@ -203,9 +82,9 @@
         loop = asyncio.get_running_loop()
         open_call = _OpenCall(call, loop.call_at(call.times_out_at, self._stop_call, call))
         self._open_calls[call] = open_call
-        if (connection := self._take_idle(_pool_key(call.hop))) is not None:
+        if (connection := self._pool.take(pool_key(call.hop))) is not None:
             self._reuse_connection(open_call, connection)
-        elif (connection := self._take_soon_quiet(_pool_key(call.hop))) is not None:
+        elif (connection := self._pool.take_soon_quiet(pool_key(call.hop))) is not None:
             open_call.waits_locally = True
             open_call.task = loop.create_task(self._send_once_quiet(open_call, connection))
             open_call.task.add_done_callback(_close_if_cancelled(connection))
@@ -221,9 +100,9 @@
         """Send a call on a connection that has not been quiet for long enough, or on a new one if data or
         the end of the connection comes meanwhile.
         """
-        await asyncio.sleep(self._quiet_in_s(connection))
+        await asyncio.sleep(self._pool.quiet_in_s(connection))
         open_call.task, open_call.waits_locally = None, False
-        if self._usable(connection):
+        if self._pool.usable(connection):
             self._reuse_connection(open_call, connection)
         else:
             connection.close()
@@ -232,11 +111,11 @@
     def _send_on_new(self, open_call: _OpenCall) -> None:
         """Send a call on a new connection."""
         loop, call = asyncio.get_running_loop(), open_call.call
-        if self._free_slot():
-            self._open += 1
+        if self._pool.has_capacity():
+            self._pool.open += 1
             self.opened += 1
             connection = Connection(
-                self._lost(_pool_key(call.hop)), _MAX_ANSWER_BODY_BYTES, _ANSWER_COMPLETION_TIMEOUT_S
+                self._pool.on_lost(pool_key(call.hop)), _MAX_ANSWER_BODY_BYTES, _ANSWER_COMPLETION_TIMEOUT_S
             )
             open_call.task = loop.create_task(self._connect(open_call, connection))
             open_call.task.add_done_callback(lambda task: self._connect_ended(connection))
@@ -245,17 +124,17 @@
 
     def _connect_ended(self, connection: Connection) -> None:
         """Release the slot of a connection that was not established, also if connecting never began. The slot
-        of an established one is released by `_lost`.
+        of an established one is released by the pool.
         """
         if connection.state is State.CONNECTING:
-            self._open -= 1
+            self._pool.open -= 1
 
     async def _connect(self, open_call: _OpenCall, connection: Connection) -> None:
         hop = open_call.call.hop
 
         def on_shortage() -> bool:
             open_call.waits_locally = True
-            self._close_oldest_idle()
+            self._pool.close_oldest()
             return True  # try again until the call times out
 
         try:
@@ -331,7 +210,7 @@
         results: dict[int, AttemptResult] = {}
         lost = message.start is None and open_call.stopped is None and not message.unreadable
         if open_call.idle_s is not None:
-            self._reuse.record(open_call.idle_s, lost)
+            self._pool.reuse.record(open_call.idle_s, lost)
         cut_off = not message.head_done and not message.unreadable and message.status != 200
         if cut_off or (message.status == 0 and not (message.unreadable and flushed)):
             # If its last byte was not written, the next hop has not begun the call.
@@ -398,9 +277,7 @@
         """End all calls as reset, and close the idle connections."""
         for open_call in list(self._open_calls.values()):
             self._stop_call(open_call.call, Outcome.RESET)
-        for pool in list(self._pools.values()):
-            for connection in list(pool):
-                connection.close()
+        self._pool.close()
 
 
 def _close_if_cancelled(connection: Connection) -> Callable[[asyncio.Task[None]], None]:
--- a/tests/crossings/test_answer_copies.py
+++ b/tests/crossings/test_answer_copies.py
@@ -288,7 +288,7 @@
         if waits_s:
             await asyncio.sleep(waits_s)
         hops.cancel(call)
-        await until(lambda: hops._open == 0, 5.0)
+        await until(lambda: hops._pool.open == 0, 5.0)
         assert caller.results["id9"] == Outcome.MOOT and hops.in_flight == 0
         hops.close()
         await endpoint.stop()
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -61,7 +61,7 @@
     yield peer, hops
     hops.close()
     await asyncio.sleep(0)
-    assert hops.in_flight == 0 and hops._open == 0, "the close of each connection is counted once"
+    assert hops.in_flight == 0 and hops._pool.open == 0, "the close of each connection is counted once"
     peer.listener.close()
 
 
@@ -156,7 +156,7 @@
         owner = Owner()
         async with world(owner, most=1) as (peer, hops):
             sock = await kept(peer, hops, owner)
-            [(key, [connection])] = hops._pools.items()
+            [(key, [connection])] = hops._pool._idle.items()
             sock.send(b"HTTP/1.1 500 E\r\n\r\n")
             if reason == "room":  # another endpoint's call needs the one descriptor
                 other = Peer()
@@ -164,7 +164,7 @@
             else:
                 other = peer
                 connection.idle_since -= 60
-                hops._expire(key, connection)
+                hops._pool._expire(key, connection)
                 hops.start(call(peer.port))
             mine = await other.accept()
             await other.call(mine)
@@ -220,7 +220,7 @@
             hops.cancel(one) if how == "cancel" else hops._stop_call(one)
             await until(lambda: owner.done)
             await asyncio.sleep(0.02)
-            assert len(owner.done) == 1 and hops._open == 0
+            assert len(owner.done) == 1 and hops._pool.open == 0
             received = b""
             with contextlib.suppress(BlockingIOError):
                 sock, _ = peer.listener.accept()
@@ -280,7 +280,7 @@
         async with world(owner, timeout=0.2) as (peer, hops):
             fillers = full_backlog(peer)
             hops.start(call(peer.port, limit=9.0))
-            await until(lambda: owner.done and not hops._open)
+            await until(lambda: owner.done and not hops._pool.open)
             assert owner.done[0][1] == {0: AttemptResult(Outcome.CONNECT_FAILED)}
             for filler in fillers:
                 filler.close()
@@ -299,7 +299,7 @@
             sock.send(GOOD)
             await until(lambda: owner.done)
             assert owner.done[0][1] == {0: AttemptResult(Outcome.OK)}, "its answer still counts"
-            assert hops._open == 0 and not hops._pools
+            assert hops._pool.open == 0 and hops._pool.is_empty
             sock.close()
 
     run(main())
--- a/tests/test_hop_table.py
+++ b/tests/test_hop_table.py
@@ -290,7 +290,7 @@
 @pytest.mark.parametrize("listed", [100, 2_000])
 def test_closing_a_next_hops_idle_connections_does_not_visit_those_of_others(listed: int) -> None:
     class Idle:
-        state, idle_since = State.IDLE, 0.0
+        state, idle_since, got_unsolicited_data = State.IDLE, 0.0, False
 
         def __init__(self, lost: Any) -> None:
             self.lost = lost
@@ -307,15 +307,16 @@
         for n in range(listed):
             for port in (1, 2):
                 hop = next_hop(n, port=port)
-                idle = Idle(hops._lost((hop.id, hop.host, hop.port)))
+                idle = Idle(hops._pool.on_lost((hop.id, hop.host, hop.port)))
                 hops._release(SimpleNamespace(call=SimpleNamespace(hop=hop), close_after=False), idle)  # type: ignore[arg-type]
                 made.append(idle)
         count_all_iterations(hops, visits)
+        count_all_iterations(hops._pool, visits)
         hops.close_idle("h7")
         hops.close_idle("h7")
-        assert closed == made[14:16] and len(visits) <= 4 and len(hops._pools) == 2 * listed - 2
+        assert closed == made[14:16] and len(visits) <= 4 and len(hops._pool._idle) == 2 * listed - 2
         for idle in [one for one in made if one not in closed]:
             idle.close()
-        assert not hops._pools and not hops._pool_keys
+        assert hops._pool.is_empty and not hops._pool._keys
 
     run(main())
--- a/tests/test_next_hops.py
+++ b/tests/test_next_hops.py
@@ -290,7 +290,7 @@
         for wait in (0.1, 0.1, 0.4):
             hops.start(call(server.port))
             await asyncio.sleep(wait)
-        assert server.connections == 1 and hops._open == 0 and not hops._pools
+        assert server.connections == 1 and hops._pool.open == 0 and hops._pool.is_empty
         hops.start(call(server.port))
         await until(lambda: len(owner.done) == 4)
         assert server.connections == 2 and {r[0].outcome for _, r in owner.done} == {Outcome.OK}
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -282,7 +282,7 @@
                 while True:
                     fill.append(os.open(os.devnull, os.O_RDONLY))
             hops.start(call(second.port, limit=5.0))
-            await until(lambda: not hops._pools and hops._open == 1)
+            await until(lambda: hops._pool.is_empty and hops._pool.open == 1)
             assert await loop.sock_recv(idle, 1) == b"", "the idle connection was closed"
             idle.close()
             sock = await second.accept()
