--- a/review/6/play.py
+++ b/review/6/play.py
@@ -36,13 +36,6 @@
 addr = "{partner}"
 dest = 1
 """
-AGENT = """
-[agent]
-listen = "127.0.0.1:{status}"
-
-[[instance]]
-file = "sender.toml"
-"""
 
 
 async def slow(endpoint: kit.Endpoint, call: kit.Call) -> bytes | None:
@@ -53,42 +46,6 @@
     return kit.http(200)
 
 
-def start_agent(case: kit.Case, agents: list[subprocess.Popen[bytes]]) -> subprocess.Popen[bytes]:
-    """Start the agent with the deploy file's program."""
-    with (case.folder / f"agent-{len(agents)}.txt").open("wb") as log:
-        agents.append(
-            subprocess.Popen(
-                [
-                    "/bin/sh",
-                    "-c",
-                    'exec .venv/bin/python -m mountgauge agent "$0"',
-                    case.folder / "agent.toml",
-                ],
-                cwd=kit.ROOT,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                process_group=0,  # its instances are ended with it at the end of the case
-            )
-        )
-    case.record.add("agent-started", number=len(agents))
-    return agents[-1]
-
-
-async def connected(publisher: kit.Publisher, limit: float) -> None:
-    """Connect, as often as it takes."""
-    async with asyncio.timeout(limit):
-        while not await publisher.connect():
-            await asyncio.sleep(0.02)
-
-
-async def exited(process: subprocess.Popen[bytes], limit: float) -> None:
-    """Wait for a process's end."""
-    async with asyncio.timeout(limit):
-        while process.poll() is None:
-            await asyncio.sleep(0.02)
-
-
 async def play(case: kit.Case, agents: list[subprocess.Popen[bytes]]) -> int:
     """The case."""
     record = case.record
@@ -96,10 +53,10 @@
     await partner.listen()
     amqp, status = kit.free_port(), kit.free_port()
     (case.folder / "sender.toml").write_text(SENDER.format(amqp=amqp, partner=partner.address))
-    (case.folder / "agent.toml").write_text(AGENT.format(status=status))
-    agent = start_agent(case, agents)
+    (case.folder / "agent.toml").write_text(kit.AGENT_FILE.format(status=status))
+    agent = kit.start_agent(case, agents)
     publisher = kit.Publisher(record, ("127.0.0.1", amqp))
-    await connected(publisher, 15)
+    await publisher.connected(15)
     for msg_id in IDS:
         publisher.publish(msg_id, "order", 1, b"stop " + msg_id.encode())
     async with asyncio.timeout(3):
@@ -112,13 +69,13 @@
         await asyncio.sleep(DIES_AFTER_S)
         agent.kill()
         record.add("agent-SIGKILL")
-    await exited(agent, 8)
-    start_agent(case, agents)
+    await kit.exited(agent, 8)
+    kit.start_agent(case, agents)
     # The sender closes the publisher's connection; what it has not confirmed is published again, to the same
     # sender and under the same id.
     async with asyncio.timeout(10):
         await publisher.lost.wait()
-    await connected(publisher, 15)
+    await publisher.connected(15)
     for msg_id in IDS:
         if msg_id not in publisher.outcomes:
             publisher.publish(msg_id, "order", 1, b"stop " + msg_id.encode())
@@ -135,14 +92,4 @@
     return case.verdict(faults)
 
 
-async def play_and_end(case: kit.Case) -> int:
-    """Play the case, and end the agents and their instances."""
-    agents: list[subprocess.Popen[bytes]] = []
-    try:
-        return await play(case, agents)
-    finally:
-        for agent in agents:
-            kit.end_group(agent)
-
-
-kit.main(play_and_end, str(Path(__file__).resolve().parent))
+kit.main_with_agents(play, str(Path(__file__).resolve().parent))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -464,6 +464,12 @@
         self._send(1, 1, struct.pack(">HH", 85, 10) + b"\0")
         await self._expect(85, 11)
 
+    async def connected(self, limit: float) -> None:
+        """Connect, as often as it takes."""
+        async with asyncio.timeout(limit):
+            while not await self.connect():
+                await asyncio.sleep(0.02)
+
     def publish(self, msg_id: str, class_name: str, dest: int, body: bytes) -> None:
         """Publish a message with this id."""
         self._tag += 1
@@ -799,3 +805,57 @@
         else:
             shutil.rmtree(temporary, ignore_errors=True)
     sys.exit(code)
+
+
+AGENT_FILE = """
+[agent]
+listen = "127.0.0.1:{status}"
+
+[[instance]]
+file = "sender.toml"
+"""
+
+
+def start_agent(case: Case, agents: list[subprocess.Popen[bytes]]) -> subprocess.Popen[bytes]:
+    """Start the agent of `agent.toml` with the deploy file's program."""
+    with (case.folder / f"agent-{len(agents)}.txt").open("wb") as log:
+        agents.append(
+            subprocess.Popen(
+                [
+                    "/bin/sh",
+                    "-c",
+                    'exec .venv/bin/python -m mountgauge agent "$0"',
+                    case.folder / "agent.toml",
+                ],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                process_group=0,  # its instances are ended with it at the end of the case
+            )
+        )
+    case.record.add("agent-started", number=len(agents))
+    return agents[-1]
+
+
+async def exited(process: subprocess.Popen[bytes], limit: float) -> None:
+    """Wait for a process's end."""
+    async with asyncio.timeout(limit):
+        while process.poll() is None:
+            await asyncio.sleep(0.02)
+
+
+def main_with_agents(
+    play: Callable[[Case, list[subprocess.Popen[bytes]]], Awaitable[int]], folder: str
+) -> None:
+    """Like `main`, for a case that starts agents: ends them and their instances."""
+
+    async def play_and_end(case: Case) -> int:
+        agents: list[subprocess.Popen[bytes]] = []
+        try:
+            return await play(case, agents)
+        finally:
+            for agent in agents:
+                end_group(agent)
+
+    main(play_and_end, folder)
