--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -170,8 +170,9 @@
         self._news = asyncio.Event()
 
     def full(self) -> dict[str, Any]:
-        """The whole list."""
-        return {"version": self.version, "full": True, "servers": list(self.servers.values())}
+        """The whole list; what has left is named among changes alone."""
+        there = [one for one in self.servers.values() if one["state"] != "left"]
+        return {"version": self.version, "full": True, "servers": there}
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (request := await read_http(reader)) is not None:
