--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -254,14 +254,6 @@
     return None
 
 
-async def run_then_hang(endpoint: Endpoint, call: Call) -> bytes | None:
-    """Run a call, and hang before its answer."""
-    await asyncio.sleep(0.03)
-    call.ran = True
-    endpoint.record.add("ran", endpoint=endpoint.name, ids=",".join(call.ids))
-    return await hang(endpoint, call)
-
-
 class Endpoint(Server):
     """An endpoint of a partner system."""
 
