--- a/review/10/play.py
+++ b/review/10/play.py
@@ -16,7 +16,8 @@
 
 DISK_MB = 3
 LIMIT_BYTES = DISK_MB << 20  # the larger of the two readings of MB
-BODY = b"x" * 22_000  # a body holds 64 KiB at most
+BODY = b"x" * 44_000  # a body holds 64 KiB at most
+HANGING, SOUND = (1, 2), (3, 4)  # destinations of one endpoint each
 DEADLINE_S = 24.0
 KILL_AFTER_S = 3.7  # SIGKILL after SIGTERM
 
@@ -38,12 +39,16 @@
 """
 
 
-async def fill(case: kit.Case, sender: kit.Sender, dest: int, wanted: int) -> int:
-    """Hand in messages until one is refused, or so many are taken on; returns how many were."""
+async def fill(case: kit.Case, sender: kit.Sender, dests: tuple[int, int], wanted: int) -> int:
+    """Hand in messages, by turns for a hanging and a sound destination, until one for the first is refused
+    or so many are taken on; returns how many for the first were.
+    """
     client = kit.Client(case.record, sender.client_address)
     taken = 0
     while taken < wanted:
-        message = await client.hand_in("stop-confirm", dest, DEADLINE_S, body=BODY)
+        await client.hand_in("stop-confirm", dests[1], DEADLINE_S)
+        await asyncio.sleep(0.01)
+        message = await client.hand_in("stop-confirm", dests[0], DEADLINE_S, body=BODY)
         if not message.accepted:
             break
         taken += 1
@@ -62,7 +67,7 @@
     case.record.add("yes", of="the new process")
     sender.signal(old, signal.SIGTERM)
     await asyncio.sleep(0.5)
-    case.record.add("taken-on", by="the new process", messages=await fill(case, sender, 2, 60))
+    case.record.add("taken-on", by="the new process", messages=await fill(case, sender, (2, 4), 40))
     await sender.gone(old, KILL_AFTER_S)
     if old.poll() is None:
         sender.signal(old, signal.SIGKILL)
@@ -73,8 +78,8 @@
     record = case.record
     platform = kit.Platform(record)
     await platform.listen()
-    for dest in (1, 2):
-        endpoint = kit.Endpoint(record, f"e{dest}", kit.hang)
+    for dest in (*HANGING, *SOUND):
+        endpoint = kit.Endpoint(record, f"e{dest}", kit.hang if dest in HANGING else kit.deliver)
         await endpoint.listen()
         platform.put(endpoint.name, endpoint.address, cell=dest, weight=20.0)
     stop_confirm = kit.message_class("stop-confirm", "deduplicated", DEADLINE_S, repeatWindow=DEADLINE_S + 1)
@@ -89,16 +94,18 @@
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
     try:
-        taken = await fill(case, sender, 1, 90)
+        taken = await fill(case, sender, (1, 3), 90)
         record.add("taken-on", by="the first process", messages=taken)
         if case.trouble:
             await replace(case, sender)
         else:
-            record.add("taken-on", by="the same process", messages=await fill(case, sender, 2, 60))
+            record.add("taken-on", by="the same process", messages=await fill(case, sender, (2, 4), 40))
             await asyncio.sleep(KILL_AFTER_S)
         await asyncio.sleep(1.0)
-    finally:
         found, _ = watcher.communicate(b"\n", timeout=5)
+    finally:
+        watcher.kill()
+        watcher.wait()
     most, _, files = found.decode().strip().partition(" ")
     record.add("most-held", bytes=most, limit=LIMIT_BYTES, files=files)
     if taken < 30:
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -13,7 +13,8 @@
 
 import stand_ins_2 as kit
 
-IDS = ("stop-1", "stop-2")
+IDS = ("stop-1", "stop-2")  # for the slow partner: 2 of 8 messages
+OTHERS = tuple(f"other-{number}" for number in range(6))
 ANSWER_AFTER_S = 4.8  # 16 times the 0.3 s of a partner system of usual pace; the page allows 9 to 19 times
 DIES_AFTER_S = 1.9  # from the agent's SIGTERM to its death; the instance drains for 3.4 s
 WATCHED_S = 9.0  # after the publishes were made again
@@ -35,6 +36,11 @@
 id = "partner-one"
 addr = "{partner}"
 dest = 1
+
+[[next_hop]]
+id = "partner-two"
+addr = "{other}"
+dest = 2
 """
 
 
@@ -46,19 +52,28 @@
     return kit.http(200)
 
 
+def publish(publisher: kit.Publisher) -> None:
+    """Publish all messages that have no outcome yet."""
+    for msg_id in (*IDS, *OTHERS):
+        if msg_id not in publisher.outcomes:
+            publisher.publish(msg_id, "order", 1 if msg_id in IDS else 2, b"stop " + msg_id.encode())
+
+
 async def play(case: kit.Case, agents: list[subprocess.Popen[bytes]]) -> int:
     """The case."""
     record = case.record
     partner = kit.Endpoint(record, "partner-one", slow)
+    other = kit.Endpoint(record, "partner-two")
     await partner.listen()
+    await other.listen()
     amqp, status = kit.free_port(), kit.free_port()
-    (case.folder / "sender.toml").write_text(SENDER.format(amqp=amqp, partner=partner.address))
+    sender = SENDER.format(amqp=amqp, partner=partner.address, other=other.address)
+    (case.folder / "sender.toml").write_text(sender)
     (case.folder / "agent.toml").write_text(kit.AGENT_FILE.format(status=status))
     agent = kit.start_agent(case, agents)
     publisher = kit.Publisher(record, ("127.0.0.1", amqp))
     await publisher.connected(15)
-    for msg_id in IDS:
-        publisher.publish(msg_id, "order", 1, b"stop " + msg_id.encode())
+    publish(publisher)
     async with asyncio.timeout(3):
         while sum(call.ran for call in partner.calls) < len(IDS):
             await asyncio.sleep(0.01)
@@ -76,14 +91,12 @@
     async with asyncio.timeout(10):
         await publisher.lost.wait()
     await publisher.connected(15)
-    for msg_id in IDS:
-        if msg_id not in publisher.outcomes:
-            publisher.publish(msg_id, "order", 1, b"stop " + msg_id.encode())
+    publish(publisher)
     await asyncio.sleep(WATCHED_S)
 
     faults = []
-    for msg_id in IDS:
-        ran = [call for call in partner.calls if call.ran and msg_id in call.ids]
+    for msg_id in (*IDS, *OTHERS):
+        ran = [call for call in (*partner.calls, *other.calls) if call.ran and msg_id in call.ids]
         record.add("ran-in-all", id=msg_id, times=len(ran), outcome=publisher.outcomes.get(msg_id, "none"))
         if len(ran) > 1:
             faults.append(
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -14,7 +14,8 @@
 
 import stand_ins_2 as kit
 
-IDS = ("route-1", "route-2")
+IDS = ("route-1", "route-2")  # for the slow partner: 2 of 8 messages
+OTHERS = tuple(f"other-{number}" for number in range(6))
 ANSWER_AFTER_S = (
     3.05  # 12.7 times the 0.24 s of a partner system of usual pace; the page allows 9 to 19 times
 )
@@ -40,6 +41,11 @@
 id = "partner-one"
 addr = "{partner}"
 dest = 1
+
+[[next_hop]]
+id = "partner-two"
+addr = "{other}"
+dest = 2
 """
 
 
@@ -52,18 +58,21 @@
 
 def publish(publisher: kit.Publisher) -> None:
     """Publish all messages that have no outcome yet."""
-    for msg_id in IDS:
+    for msg_id in (*IDS, *OTHERS):
         if msg_id not in publisher.outcomes:
-            publisher.publish(msg_id, "route-update", 1, b"position of " + msg_id.encode())
+            body = b"position of " + msg_id.encode()
+            publisher.publish(msg_id, "route-update", 1 if msg_id in IDS else 2, body)
 
 
 async def play(case: kit.Case, agents: list[subprocess.Popen[bytes]]) -> int:
     """The case."""
     record = case.record
     partner = kit.Endpoint(record, "partner-one", slow)
+    other = kit.Endpoint(record, "partner-two")
     await partner.listen()
+    await other.listen()
     amqp, status = kit.free_port(), kit.free_port()
-    sender = SENDER.format(amqp=amqp, partner=partner.address, deadline=DEADLINE_S)
+    sender = SENDER.format(amqp=amqp, partner=partner.address, other=other.address, deadline=DEADLINE_S)
     (case.folder / "sender.toml").write_text(sender)
     (case.folder / "agent.toml").write_text(kit.AGENT_FILE.format(status=status))
     agent = kit.start_agent(case, agents)
@@ -93,15 +102,19 @@
     await publisher.connected(15)
     publish(publisher)
     again = time.monotonic()
-    while time.monotonic() < again + DEADLINE_S + SLACK_S and len(publisher.outcomes) < len(IDS):
+    while time.monotonic() < again + DEADLINE_S + SLACK_S and len(publisher.outcomes) < len(IDS) + len(
+        OTHERS
+    ):
         if publisher.lost.is_set():  # once more; whatever is known must be told then
             await publisher.connected(15)
             publish(publisher)
         await asyncio.sleep(0.01)
 
     faults = []
-    for msg_id in IDS:
-        answered = [call for call in partner.calls if msg_id in call.ids and call.ended is not None]
+    for msg_id in (*IDS, *OTHERS):
+        answered = [
+            call for call in (*partner.calls, *other.calls) if msg_id in call.ids and call.ended is not None
+        ]
         outcome = publisher.outcomes.get(msg_id, "none")
         record.add("in-all", id=msg_id, calls=len(answered), outcome=outcome)
         if outcome == "none":
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -15,13 +15,16 @@
 import stand_ins_2 as kit
 
 DEADLINE_S = 8.0
-MESSAGES = 5
-SLOW_S = 3.0  # 13 times the 0.24 s of a partner system of usual pace
+ROUNDS = 5  # each one message for the slow partner and three for others, so it gets 25%
+SLOW_S = 3.0  # 12.5 times the usual 0.24 s
+SPELL_S = 9.0  # for which the partner is slow, from the sender's first start on
 USED_AFTER_S = 1.5  # a class that appears is used after 1.2 s
 
 
 async def slow(endpoint: kit.Endpoint, call: kit.Call) -> bytes | None:
-    """Run a call at once, and answer late."""
+    """Run a call at once, and answer it late while the spell lasts."""
+    if call.came > endpoint.record.began + SPELL_S:
+        return await kit.deliver(endpoint, call)
     call.ran = True
     endpoint.record.add("ran", endpoint=endpoint.name, ids=",".join(call.ids))
     await asyncio.sleep(SLOW_S)
@@ -42,9 +45,12 @@
     """The case."""
     platform = kit.Platform(case.record)
     await platform.listen()
-    endpoint = kit.Endpoint(case.record, "e1", slow)
-    await endpoint.listen()
-    platform.put(endpoint.name, endpoint.address, cell=1, weight=20.0)
+    endpoints = []
+    for dest in (1, 2, 3, 4):
+        endpoint = kit.Endpoint(case.record, f"e{dest}", slow if dest == 1 else kit.deliver)
+        await endpoint.listen()
+        platform.put(endpoint.name, endpoint.address, cell=dest, weight=20.0)
+        endpoints.append(endpoint)
     sender = case.sender(platform, settings("idempotent"))
     process = sender.start()
     await sender.ready(process)
@@ -56,28 +62,28 @@
     await asyncio.sleep(USED_AFTER_S)
     client = kit.Client(case.record, sender.client_address)
     messages = []
-    for _ in range(MESSAGES):
-        messages.append(await client.hand_in("route-update", 1, DEADLINE_S))
-        await asyncio.sleep(0.1)
+    for _ in range(ROUNDS):
+        for dest in (1, 2, 3, 4):
+            messages.append(await client.hand_in("route-update", dest, DEADLINE_S))
+            await asyncio.sleep(0.03)
 
     if case.trouble:
         sender.settings = settings("idempotent")
     sender.write_config()
     sender.signal(process, signal.SIGHUP)
     await asyncio.sleep(0.5)
-    out = sum(call.ended is None for call in endpoint.calls)
+    out = sum(call.ended is None for call in endpoints[0].calls)
     sender.signal(process, signal.SIGKILL)
     process.wait()
     if not out:
         raise kit.CouldNotRunError("no call was out when the sender was killed")
-    endpoint.behaviour = kit.deliver
     await asyncio.sleep(0.6)
     await sender.ready(sender.start())
     await asyncio.sleep(DEADLINE_S)
 
     faults = []
     for one in messages:
-        ran = [call for call in endpoint.calls if one.id in call.ids and call.ran]
+        ran = [call for at in endpoints for call in at.calls if one.id in call.ids and call.ran]
         ends = ",".join(notice.status for notice in platform.notices.get(one.id, [])) or "none"
         case.record.add("in-all", id=one.id, ran=len(ran), notices=ends)
         if len(ran) > 1:
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -30,7 +30,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 LISTEN_FD = 5  # of the platform's listening socket in every process (operators' page)
-NOTICE_SLACK_S = 0.3 + 0.05  # after a message's time is up; each time limit on sockets is 50 ms longer
+USUAL_S = 0.24  # a call at a partner system of usual pace: 210 to 370 ms, or 140 to 240 ms (BRIEF)
 # Descriptor 5 stays free for the platform's listening socket: whatever is opened later gets a higher one.
 _RESERVED = [os.open(os.devnull, os.O_RDONLY) for _ in range(8)]
 
@@ -240,8 +240,8 @@
 
 
 async def deliver(endpoint: Endpoint, call: Call) -> bytes | None:
-    """Run a call and answer 200."""
-    await asyncio.sleep(0.03)
+    """Run a call and answer 200, at a usual pace."""
+    await asyncio.sleep(USUAL_S)
     call.ran = True
     if call.batch:
         return http(200, json.dumps([{"id": one, "state": "ok"} for one in call.ids]).encode())
@@ -779,12 +779,17 @@
     case = Case(record, temporary, os.environ.get("TROUBLE", "1") != "0")
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit):
             return await play(case)
 
     code = COULD_NOT_RUN
     try:
         code = asyncio.run(bounded())
+    except asyncio.CancelledError:
+        record.add("COULD-NOT-RUN", why="told to end")
     except Exception as error:  # whatever it is, it says nothing about the rule
         traceback.print_exc()
         record.add("COULD-NOT-RUN", why=repr(str(error)[:1500] or type(error).__name__))
