Keep the state folder below disk_mb at each moment of a process's replacement

All files of the folder count, a record that another process may be writing as well, and a compaction announces itself by its spare file. Records about accepted messages need room for themselves alone.

--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -15,10 +15,11 @@
 import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from mountgauge.core.durable_time import STAMP_EVERY_S, Clocks, ProcessTime, Stamp, SystemClocks
 from mountgauge.core.files import APPEND_FLAGS, TRUNCATE_FLAGS, Files, SystemFiles, write_all
+from mountgauge.core.folder_space import FolderSpace, blocks, file_blocks
 from mountgauge.core.journal_records import JournalContents, StoredMessage, outcome_records, record
 from mountgauge.core.journal_slots import SLOTS, lock_path, lock_slot, same_file, slot_paths
 from mountgauge.core.ports import MessageOutcome
@@ -26,7 +27,6 @@
 __all__ = ["Journal", "JournalFullError", "JournalUnavailableError", "StoredMessage"]
 
 _MAX_RECORD_BYTES = 1 << 20
-_BLOCK_BYTES = 512  # the size of each file is rounded up to whole blocks
 _RESERVE_BYTES = 64 * 1024  # not used for new messages, so that attempts and outcomes can still be recorded
 _PER_MESSAGE_BYTES = 512  # for the records of attempts and an outcome that follow a message
 _COMPACTION_SLACK_BYTES = 256 * 1024  # dead bytes that do not justify a compaction
@@ -42,8 +42,25 @@
     """The folder cannot be read or written: the unfinished messages are unknown, and no slot is held."""
 
 
-def _blocks(size: int) -> int:
-    return -(-size // _BLOCK_BYTES) * _BLOCK_BYTES
+class _HeldSlot(NamedTuple):
+    """A slot, and the descriptor of its lock, which this process holds."""
+
+    slot: int
+    lock: int
+
+
+class _Copies(NamedTuple):
+    """What another journal adds to this one: outcomes, and messages that are not finished here."""
+
+    finished: dict[str, MessageOutcome]
+    messages: list[StoredMessage]
+    incomplete_bytes: int  # at the end of the other file
+
+    @property
+    def records(self) -> bytes:
+        """The records to append."""
+        live = [stored.record() for stored in self.messages]
+        return b"".join([*outcome_records(self.finished.items()), *live])
 
 
 class Journal:
@@ -65,6 +82,7 @@
         self._last_stamp: Stamp | None = None  # the last one that this process wrote to the file
         self._max_bytes = disk_bytes
         self._slots = slots
+        self._space = FolderSpace(folder, slots)
         self.failing = False  # the last write failed
         self.on_failing: Callable[[], None] | None = None  # called when `flush` has to be called later
         self._unwritten: list[bytes] = []  # records that must be written before any later one
@@ -167,8 +185,9 @@
 
     def _rewrite(self, content: bytes) -> None:
         """Replace the journal's content. Raises OSError if that fails, and changes nothing."""
-        file = self._files.open(self._spare, TRUNCATE_FLAGS)
+        file = self._files.open(self._spare, TRUNCATE_FLAGS)  # from now on other processes count the copy
         try:
+            self._require_space(file_blocks(self.path) + blocks(len(content)))
             write_all(self._files, file, content)
             self._replace_by(file)
         except OSError:
@@ -239,11 +258,26 @@
                 return []
             try:
                 self._require_writable()
-                fresh = self._take_over(self._files.read(path))
-                self._adopted_locks[slot] = lock
+                self._remove_if_possible(spare)
+                content = self._files.read(path)
+                copies = self._copies(content)
+                if self._space_left() >= blocks(self._size + len(copies.records)) - blocks(self._size):
+                    self._write(copies.records)
+                    outdated = _HeldSlot(slot, lock)
+                else:
+                    outdated = self._move_to(slot, lock, len(content) - copies.incomplete_bytes)
+                fresh = self._apply_copies(copies)
+                self._adopted_locks[outdated.slot] = outdated.lock
             finally:
-                if slot not in self._adopted_locks:
+                if lock not in (self._lock, *self._adopted_locks.values()):
                     os.close(lock)
+            slot = outdated.slot
+        self._remove_outdated(slot)
+        return fresh
+
+    def _remove_outdated(self, slot: int) -> None:
+        """Remove the files of a slot whose records are in this journal."""
+        path, spare = slot_paths(self.folder, slot)
         try:
             self._files.unlink(path)
             self._files.unlink(spare)
@@ -251,7 +285,32 @@
             self.unadopted.append(path)
         else:
             self._close(self._adopted_locks.pop(slot))
-        return fresh
+
+    def _move_to(self, slot: int, lock: int, size: int) -> _HeldSlot:
+        """Append this journal's content to the journal of another slot, of which `size` bytes are complete
+        records, and use that one from now on: the folder has no room for a copy of the other journal.
+
+        Returns the slot that was left. Raises OSError if the records cannot be written, and changes nothing.
+        While both exist the accepting processes have left room for a copy of one of the two.
+        """
+        path, spare = slot_paths(self.folder, slot)
+        content = self._content()  # begins with a stamp, so that the times before it are converted
+        self._require_space(blocks(self._size) + blocks(size + len(content)) - file_blocks(path))
+        file = self._files.open(path, APPEND_FLAGS)
+        try:
+            self._files.truncate(file, size)
+            write_all(self._files, file, content)
+        except OSError:
+            with contextlib.suppress(OSError):  # else the next reader finds an incomplete record
+                self._files.truncate(file, size)
+            self._close(file)
+            raise
+        self._close(self._file)
+        left = _HeldSlot(self.slot, self._lock)
+        self.slot, self._lock, self.path, self._spare, self._file = slot, lock, path, spare, file
+        self._size, self._compacted_size, self._last_stamp = size + len(content), 0, self.time.stamp()
+        self._unwritten, self._torn, self._misplaced, self.failing = [], False, False, False
+        return left
 
     def _require_writable(self) -> None:
         """Raise OSError while no records can be written: reading another journal would be useless."""
@@ -260,19 +319,27 @@
         if self.failing:
             raise OSError(errno.EIO, "no records can be written")
 
-    def _take_over(self, content: bytes) -> list[StoredMessage]:
-        """Record the contents of another journal, then apply them; returns the messages that are new here.
-        Raises OSError if they cannot be written, and changes nothing.
-        """
+    def _copies(self, content: bytes) -> _Copies:
+        """What another journal's content adds to this one."""
         theirs, incomplete_bytes = self._read(content, self.time.stamp())
         finished = {i: outcome for i, outcome in theirs.outcomes.items() if i not in self.outcomes}
-        copies = [one for i, one in theirs.live.items() if i not in self.outcomes]
-        self._write(b"".join([*outcome_records(finished.items()), *(stored.record() for stored in copies)]))
-        self.truncated_bytes += incomplete_bytes
-        for msg_id, outcome in finished.items():
+        messages = [one for i, one in theirs.live.items() if i not in self.outcomes and self._adds(one)]
+        return _Copies(finished, messages, incomplete_bytes)
+
+    def _adds(self, copy: StoredMessage) -> bool:
+        """Whether another journal's record says more of a message than this one's: an adoption that was
+        interrupted leaves equal records.
+        """
+        own = self.live.get(copy.id)
+        return own is None or not own.covers(copy)
+
+    def _apply_copies(self, copies: _Copies) -> list[StoredMessage]:
+        """Apply what another journal adds, once it is on record; returns the messages that are new here."""
+        self.truncated_bytes += copies.incomplete_bytes
+        for msg_id, outcome in copies.finished.items():
             self._remove_live(msg_id, outcome)
         fresh = []
-        for stored in copies:
+        for stored in copies.messages:
             if stored.id in self.live:
                 self.live[stored.id].merge(stored)
             else:
@@ -302,25 +369,50 @@
 
     def has_capacity(self, size: int) -> bool:
         """Whether a message with a body of this size may be accepted; compacts the file if that helps."""
-        return self._fits(size + _PER_MESSAGE_BYTES, _RESERVE_BYTES)
+        return self._has_room_for_message(size + _PER_MESSAGE_BYTES)
+
+    def _has_room_for_message(self, size: int) -> bool:
+        """Whether a message's record may be appended, of at most this size.
+
+        A complete copy of the file may exist beside it for a moment, so both must fit. Another process may
+        adopt this file, or have its own adopted: a copy of the one that accepted last has room.
+        """
+
+        def full() -> bool:
+            both = blocks(self._size + size) + blocks(self._compact_bytes() + size)
+            return both + _RESERVE_BYTES + self._beside() > self._max_bytes
+
+        if self._has_mostly_dead_bytes() or full():
+            self._compact()
+        return not full()
+
+    def _has_room_for_record(self, size: int) -> bool:
+        """Whether a record about an accepted message may be appended, which needs no room for a copy: the
+        messages of a nearly full folder have to be attempted and finished, so that it becomes emptier.
+        """
 
-    def _fits(self, size: int, reserve: int) -> bool:
-        # The file and its compacted copy exist side by side for a moment, so both must fit.
         def full() -> bool:
-            both = _blocks(self._size + size) + _blocks(self._compact_bytes() + size)
-            return both + reserve + self._unadopted_bytes() > self._max_bytes
+            return blocks(self._size + size) + self._beside() > self._max_bytes
 
-        if self._size > 4 * self._compact_bytes() + _COMPACTION_SLACK_BYTES or full():
+        if self._has_mostly_dead_bytes() or full():
             self._compact()
         return not full()
 
-    def _unadopted_bytes(self) -> int:
-        """The disk space used by the journals of other processes in the same folder."""
-        total = 0
-        for path in self.unadopted:
-            with contextlib.suppress(OSError):  # adopted or removed meanwhile
-                total += _blocks(path.stat().st_size)
-        return total
+    def _has_mostly_dead_bytes(self) -> bool:
+        return self._size > 4 * self._compact_bytes() + _COMPACTION_SLACK_BYTES
+
+    def _beside(self) -> int:
+        """The part of the limit that other files of the folder take."""
+        return self._space.beside(self.slot, self.time.now())
+
+    def _space_left(self) -> int:
+        """How many bytes this process may still write."""
+        return self._max_bytes - blocks(self._size) - self._beside()
+
+    def _require_space(self, size: int) -> None:
+        """Raise OSError unless files of this process of `size` bytes together may exist in the folder."""
+        if size + self._beside() > self._max_bytes:
+            raise OSError(errno.ENOSPC, "the folder's limit")
 
     def _compact(self) -> None:
         if self._size < self._compacted_size + max(4096, self._compacted_size // 8):
@@ -328,8 +420,7 @@
         if self.time.now() < self._compact_from:
             return
         content = self._content()
-        both = _blocks(self._size) + _blocks(len(content)) + self._unadopted_bytes()
-        if len(content) >= self._size or both > self._max_bytes:
+        if len(content) >= self._size or blocks(len(content)) > self._space_left():
             return
         try:
             self._rewrite(content)
@@ -370,8 +461,8 @@
         if stamps:
             self._last_stamp = stamps[-1]
 
-    def _append(self, content: bytes, reserve: int) -> None:
-        if not self._fits(len(content) + sum(map(len, self._unwritten)), reserve):
+    def _append(self, content: bytes, has_room: Callable[[int], bool]) -> None:
+        if not has_room(len(content) + sum(map(len, self._unwritten))):
             raise JournalFullError(f"{self._size} of {self._max_bytes} bytes in use")
         try:
             self._write(content)
@@ -397,7 +488,7 @@
         """Write the records that failed before; returns whether none is left, and writing works."""
         if self._unwritten or self.failing:
             with contextlib.suppress(JournalFullError):
-                self._append(b"", 0)
+                self._append(b"", self._has_room_for_record)
         return not self._unwritten and not self.failing
 
     def accept(self, stored: StoredMessage) -> None:
@@ -405,7 +496,7 @@
         content = stored.record()
         if len(content) > _MAX_RECORD_BYTES:
             raise JournalFullError("the message is too large")
-        self._append(content, _RESERVE_BYTES)
+        self._append(content, self._has_room_for_message)
         self._add(stored)
 
     def attempt(self, msg_ids: Iterable[str], at: float, zone: int) -> None:
@@ -413,14 +504,15 @@
         JournalFullError if none of them may be sent.
         """
         msg_ids = [i for i in msg_ids if i in self.live]
-        self._append(b"".join(record(b"A", [i, at, zone]) for i in msg_ids), 0)
+        content = b"".join(record(b"A", [i, at, zone]) for i in msg_ids)
+        self._append(content, self._has_room_for_record)
         for i in msg_ids:
             self._contents.apply(b"A", [i, at, zone])
 
     def _append_or_keep(self, kind: bytes, head: list[Any]) -> bool:
         content = record(kind, head)
         try:
-            self._append(content, 0)
+            self._append(content, self._has_room_for_record)
         except JournalFullError:
             self._unwritten.append(content)
             self._request_flush()
--- a/mountgauge/core/journal_records.py
+++ b/mountgauge/core/journal_records.py
@@ -15,7 +15,7 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -58,6 +58,16 @@
         ]
         return record(b"T", head, self.body)
 
+    def covers(self, copy: StoredMessage) -> bool:
+        """Whether merging another record of this message would change nothing."""
+        merged = replace(self)
+        merged.merge(copy)
+        return (merged.maybe_ran, merged.attempts, merged.notice) == (
+            self.maybe_ran,
+            self.attempts,
+            self.notice,
+        )
+
     def merge(self, copy: StoredMessage) -> None:
         """Merge another record of this message: an attempt that is in either may have run."""
         ran: list[tuple[float, int]] = []
