Record a message's class by its definition, which holds over a restart

Changed: a record D defines a class for the messages behind it, up to the next clock stamp; a restored or adopted message gets a number for what it was accepted with. The test of a removed class asserted that an untried message is given up, for want of its repeat rule.

--- a/mountgauge/core/admission.py
+++ b/mountgauge/core/admission.py
@@ -114,15 +114,15 @@
 
     def stored(self, submission: Submission, expires: float) -> StoredMessage:
         """The message as recorded in the journal; `expires` is on the sender's clock."""
-        until, class_name = self._journal.time.of(expires), self.names.class_names[submission.message_class]
         return StoredMessage(
             submission.id,
-            class_name,
-            until,
+            self.names.class_names[submission.message_class],
+            self._journal.time.of(expires),
             submission.dest,
             submission.key,
             submission.front,
             submission.body,
+            message_class=self.rules.message_classes[submission.message_class],
         )
 
     def accept(self, submission: Submission, message: PendingMessage) -> bool:
--- a/mountgauge/core/folder_space.py
+++ b/mountgauge/core/folder_space.py
@@ -16,6 +16,7 @@
 _BLOCK_BYTES = 512  # the size of each file is rounded up to whole blocks
 _CONCURRENT_RECORD_BYTES = 66 * 1024  # a message of the maximum size: appended after this process has looked
 _SCAN_INTERVAL_S = 1.0  # between two scans for files that are no journals
+_RECENT_S = 0.1
 # Their space is set aside by the settings of an operator's file.
 _ACCOUNTED_ELSEWHERE = ("journal", "lock", "tenants.db", "budgets", "shards", "identity", "remembered")
 
@@ -25,7 +26,7 @@
     return -(-size // _BLOCK_BYTES) * _BLOCK_BYTES
 
 
-def file_blocks(path: Path) -> int:
+def file_blocks(path: Path | str) -> int:
     """The space of a file, 0 if it is missing."""
     try:
         return blocks(os.stat(path).st_size)
@@ -38,16 +39,24 @@
 
     def __init__(self, folder: Path, slots: int) -> None:
         self._folder = folder
-        self._slots = [slot_paths(folder, slot) for slot in range(slots)]
+        # As text: they are looked up for each record.
+        self._slots = [tuple(map(str, slot_paths(folder, slot))) for slot in range(slots)]
         self._scan_from = -math.inf  # the earliest time of the next scan
         self._small_files = 0
+        self._measured_at, self._measured = -math.inf, 0
 
     def beside(self, own_slot: int, now: float) -> int:
         """The bytes that are not available to the journal in this slot; `now` in seconds."""
         if now >= self._scan_from:
             self._scan_from = now + _SCAN_INTERVAL_S
             self._small_files = self._measure_small_files()
-        return self._small_files + self._other_journals(own_slot)
+        self._measured_at, self._measured = now, self._small_files + self._other_journals(own_slot)
+        return self._measured
+
+    def beside_recently(self, own_slot: int, now: float) -> int:
+        """The same, as it was at most a moment ago."""
+        recent = 0 <= now - self._measured_at < _RECENT_S
+        return self._measured if recent else self.beside(own_slot, now)
 
     def _other_journals(self, own_slot: int) -> int:
         journals, concurrent, copying = 0, 0, False
@@ -56,7 +65,7 @@
                 continue
             journals += size
             concurrent += _CONCURRENT_RECORD_BYTES
-            copying = copying or spare.exists()
+            copying = copying or os.path.exists(spare)
         return journals * (2 if copying else 1) + concurrent
 
     def _measure_small_files(self) -> int:
--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -13,14 +13,21 @@
 import errno
 import math
 import os
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from mountgauge.core.durable_time import STAMP_EVERY_S, Clocks, ProcessTime, Stamp, SystemClocks
 from mountgauge.core.files import APPEND_FLAGS, TRUNCATE_FLAGS, Files, SystemFiles, write_all
 from mountgauge.core.folder_space import FolderSpace, blocks, file_blocks
-from mountgauge.core.journal_records import JournalContents, StoredMessage, outcome_records, record
+from mountgauge.core.journal_records import (
+    JournalContents,
+    MessageEncoder,
+    StoredMessage,
+    definition_record,
+    outcome_records,
+    record,
+)
 from mountgauge.core.journal_slots import SLOTS, lock_path, lock_slot, same_file, slot_paths
 from mountgauge.core.ports import MessageOutcome
 
@@ -42,6 +49,13 @@
     """The folder cannot be read or written: the unfinished messages are unknown, and no slot is held."""
 
 
+class _Content(NamedTuple):
+    """All that a journal has to contain, and what its end defines."""
+
+    records: bytes
+    encoder: MessageEncoder
+
+
 class _HeldSlot(NamedTuple):
     """A slot, and the descriptor of its lock, which this process holds."""
 
@@ -57,10 +71,14 @@
     incomplete_bytes: int  # at the end of the other file
 
     @property
-    def records(self) -> bytes:
-        """The records to append."""
-        live = [stored.record() for stored in self.messages]
-        return b"".join([*outcome_records(self.finished.items()), *live])
+    def outcomes(self) -> bytes:
+        """The records of the outcomes."""
+        return b"".join(outcome_records(self.finished.items()))
+
+    @property
+    def size(self) -> int:
+        """The size of all records, at most."""
+        return len(self.outcomes) + len(MessageEncoder().encode(self.messages))
 
 
 class Journal:
@@ -80,6 +98,7 @@
         self.time = ProcessTime(clock or SystemClocks())
         self._opening_stamp = self.time.stamp()  # the time base for what is found in the folder
         self._last_stamp: Stamp | None = None  # the last one that this process wrote to the file
+        self._encoder = MessageEncoder()  # knows the class definitions that hold at the end of the file
         self._max_bytes = disk_bytes
         self._slots = slots
         self._space = FolderSpace(folder, slots)
@@ -183,18 +202,18 @@
         self._lock = lock
         return True
 
-    def _rewrite(self, content: bytes) -> None:
+    def _rewrite(self, content: _Content) -> None:
         """Replace the journal's content. Raises OSError if that fails, and changes nothing."""
         file = self._files.open(self._spare, TRUNCATE_FLAGS)  # from now on other processes count the copy
         try:
-            self._require_space(file_blocks(self.path) + blocks(len(content)))
-            write_all(self._files, file, content)
+            self._require_space(file_blocks(self.path) + blocks(len(content.records)))
+            write_all(self._files, file, content.records)
             self._replace_by(file)
         except OSError:
             self._close(file)
             raise
         self._close(self._file)
-        self._file, self._size = file, len(content)
+        self._file, self._size, self._encoder = file, len(content.records), content.encoder
         self._unwritten, self._torn, self.failing = [], False, False
 
     def _replace_by(self, file: int) -> None:
@@ -220,10 +239,10 @@
             self._rewrite(self._content())
         self._misplaced = False
 
-    def _content(self) -> bytes:
-        clocks = record(b"C", list(self.time.stamp()))
-        live = [stored.record() for stored in self.live.values()]
-        return b"".join([clocks, *outcome_records(self.outcomes.items()), *live])
+    def _content(self) -> _Content:
+        clocks, encoder = record(b"C", list(self.time.stamp())), MessageEncoder()
+        live = encoder.encode(self.live.values())
+        return _Content(b"".join([clocks, *outcome_records(self.outcomes.items()), live]), encoder)
 
     # Other slots
 
@@ -261,8 +280,8 @@
                 self._remove_if_possible(spare)
                 content = self._files.read(path)
                 copies = self._copies(content)
-                if self._space_left() >= blocks(self._size + len(copies.records)) - blocks(self._size):
-                    self._write(copies.records)
+                if self._space_left() >= blocks(self._size + copies.size) - blocks(self._size):
+                    self._write(copies.outcomes, copies.messages)
                     outdated = _HeldSlot(slot, lock)
                 else:
                     outdated = self._move_to(slot, lock, len(content) - copies.incomplete_bytes)
@@ -295,11 +314,12 @@
         """
         path, spare = slot_paths(self.folder, slot)
         content = self._content()  # begins with a stamp, so that the times before it are converted
-        self._require_space(blocks(self._size) + blocks(size + len(content)) - file_blocks(path))
+        moved_size = size + len(content.records)
+        self._require_space(blocks(self._size) + blocks(moved_size) - file_blocks(path))
         file = self._files.open(path, APPEND_FLAGS)
         try:
             self._files.truncate(file, size)
-            write_all(self._files, file, content)
+            write_all(self._files, file, content.records)
         except OSError:
             with contextlib.suppress(OSError):  # else the next reader finds an incomplete record
                 self._files.truncate(file, size)
@@ -308,7 +328,8 @@
         self._close(self._file)
         left = _HeldSlot(self.slot, self._lock)
         self.slot, self._lock, self.path, self._spare, self._file = slot, lock, path, spare, file
-        self._size, self._compacted_size, self._last_stamp = size + len(content), 0, self.time.stamp()
+        self._size, self._compacted_size, self._encoder = moved_size, 0, content.encoder
+        self._last_stamp = self.time.stamp()
         self._unwritten, self._torn, self._misplaced, self.failing = [], False, False, False
         return left
 
@@ -382,24 +403,29 @@
             both = blocks(self._size + size) + blocks(self._compact_bytes() + size)
             return both + _RESERVE_BYTES + self._beside() > self._max_bytes
 
-        if self._has_mostly_dead_bytes() or full():
-            self._compact()
-        return not full()
+        return self._has_room(full)
 
     def _has_room_for_record(self, size: int) -> bool:
         """Whether a record about an accepted message may be appended, which needs no room for a copy: the
         messages of a nearly full folder have to be attempted and finished, so that it becomes emptier.
+
+        Acceptance has left room for these records, so that an older measure will do while the reserve is
+        unused.
         """
 
         def full() -> bool:
-            return blocks(self._size + size) + self._beside() > self._max_bytes
+            own = blocks(self._size + size)
+            recent = self._space.beside_recently(self.slot, self.time.now())
+            return own + _RESERVE_BYTES + recent > self._max_bytes and own + self._beside() > self._max_bytes
 
-        if self._has_mostly_dead_bytes() or full():
-            self._compact()
-        return not full()
+        return self._has_room(full)
 
-    def _has_mostly_dead_bytes(self) -> bool:
-        return self._size > 4 * self._compact_bytes() + _COMPACTION_SLACK_BYTES
+    def _has_room(self, full: Callable[[], bool]) -> bool:
+        """Whether the folder is not full, after a compaction if that may help."""
+        if self._size <= 4 * self._compact_bytes() + _COMPACTION_SLACK_BYTES and not full():
+            return True
+        self._compact()
+        return not full()
 
     def _beside(self) -> int:
         """The part of the limit that other files of the folder take."""
@@ -420,7 +446,8 @@
         if self.time.now() < self._compact_from:
             return
         content = self._content()
-        if len(content) >= self._size or blocks(len(content)) > self._space_left():
+        size = len(content.records)
+        if size >= self._size or blocks(size) > self._space_left():
             return
         try:
             self._rewrite(content)
@@ -437,15 +464,18 @@
             self._files.truncate(self._file, self._size)
             self._torn = False
 
-    def _write(self, content: bytes) -> None:
-        """Append this after all records still to be written. Raises OSError if none of it was written."""
+    def _write(self, content: bytes, messages: Sequence[StoredMessage] = ()) -> None:
+        """Append this, and these messages, after all records still to be written. Raises OSError if none of
+        it was written.
+        """
         stamps: list[Stamp] = []
         try:
             self._ensure_in_place()  # first, because it may write the records still to be written
             stamps = self._due_stamps()
-            if stamps or self._unwritten:
+            encoder = MessageEncoder() if stamps else MessageEncoder(self._encoder.defined)
+            if stamps or self._unwritten or messages:
                 before = [record(b"C", list(one)) for one in stamps]
-                content = b"".join([*before, *self._unwritten, content])
+                content = b"".join([*before, *self._unwritten, content, encoder.encode(messages)])
             self._truncate_torn()
             self._torn = True
             write_all(self._files, self._file, content)
@@ -457,15 +487,22 @@
             raise
         self._torn = False
         self._size += len(content)
-        self._unwritten, self.failing = [], False
+        self._unwritten, self.failing, self._encoder = [], False, encoder
         if stamps:
             self._last_stamp = stamps[-1]
 
-    def _append(self, content: bytes, has_room: Callable[[int], bool]) -> None:
-        if not has_room(len(content) + sum(map(len, self._unwritten))):
+    def _append(self, content: bytes) -> None:
+        """Append records about accepted messages; raises JournalFullError if none of it was written."""
+        self._require_room(self._has_room_for_record(len(content) + sum(map(len, self._unwritten))))
+        self._write_or_full(content)
+
+    def _require_room(self, has_room: bool) -> None:
+        if not has_room:
             raise JournalFullError(f"{self._size} of {self._max_bytes} bytes in use")
+
+    def _write_or_full(self, content: bytes, messages: Sequence[StoredMessage] = ()) -> None:
         try:
-            self._write(content)
+            self._write(content, messages)
         except OSError as error:
             raise JournalFullError(str(error)) from error
 
@@ -488,15 +525,16 @@
         """Write the records that failed before; returns whether none is left, and writing works."""
         if self._unwritten or self.failing:
             with contextlib.suppress(JournalFullError):
-                self._append(b"", self._has_room_for_record)
+                self._append(b"")
         return not self._unwritten and not self.failing
 
     def accept(self, stored: StoredMessage) -> None:
         """Record an accepted message; raises JournalFullError if it cannot be recorded."""
-        content = stored.record()
-        if len(content) > _MAX_RECORD_BYTES:
+        size = len(stored.record()) + len(definition_record(stored.class_name, stored.message_class))
+        if size > _MAX_RECORD_BYTES:
             raise JournalFullError("the message is too large")
-        self._append(content, self._has_room_for_message)
+        self._require_room(self._has_room_for_message(size + sum(map(len, self._unwritten))))
+        self._write_or_full(b"", [stored])
         self._add(stored)
 
     def attempt(self, msg_ids: Iterable[str], at: float, zone: int) -> None:
@@ -505,14 +543,14 @@
         """
         msg_ids = [i for i in msg_ids if i in self.live]
         content = b"".join(record(b"A", [i, at, zone]) for i in msg_ids)
-        self._append(content, self._has_room_for_record)
+        self._append(content)
         for i in msg_ids:
             self._contents.apply(b"A", [i, at, zone])
 
     def _append_or_keep(self, kind: bytes, head: list[Any]) -> bool:
         content = record(kind, head)
         try:
-            self._append(content, self._has_room_for_record)
+            self._append(content)
         except JournalFullError:
             self._unwritten.append(content)
             self._request_flush()
--- a/mountgauge/core/journal_records.py
+++ b/mountgauge/core/journal_records.py
@@ -16,12 +16,14 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from functools import cache
 from typing import Any
 
 import orjson
 
 from mountgauge.core.durable_time import CLOCK_TOLERANCE_S, LONG_AGO, Basis, Stamp, rebase
 from mountgauge.core.ports import MessageOutcome, Status
+from rillspindle.interface import MessageClass
 
 _HEADER = struct.Struct("<II")
 
@@ -41,6 +43,8 @@
     # Time and zone of each attempt that may have run.
     maybe_ran: list[tuple[float, int]] = field(default_factory=list)
     notice: MessageOutcome | None = None  # abandoned with this outcome, which is not reported yet
+    # The rules that it was accepted with; None: accepted by an earlier build, which recorded the name alone.
+    message_class: MessageClass | None = None
 
     def record(self) -> bytes:
         """Its record, with its attempts and its outcome so far."""
@@ -62,11 +66,10 @@
         """Whether merging another record of this message would change nothing."""
         merged = replace(self)
         merged.merge(copy)
-        return (merged.maybe_ran, merged.attempts, merged.notice) == (
-            self.maybe_ran,
-            self.attempts,
-            self.notice,
-        )
+        return merged._mutable_state() == self._mutable_state()
+
+    def _mutable_state(self) -> object:
+        return self.maybe_ran, self.attempts, self.notice, self.message_class
 
     def merge(self, copy: StoredMessage) -> None:
         """Merge another record of this message: an attempt that is in either may have run."""
@@ -78,6 +81,7 @@
         self.maybe_ran = ran if len(ran) > len(longer) else list(longer)
         self.attempts = max(self.attempts, copy.attempts)
         self.notice = self.notice or copy.notice
+        self.message_class = self.message_class or copy.message_class
 
 
 def record(kind: bytes, head: object, body: bytes | None = None) -> bytes:
@@ -91,6 +95,39 @@
     return [record(b"E", [msg_id, outcome.status, outcome.retry_after_ms]) for msg_id, outcome in outcomes]
 
 
+@cache
+def definition_record(class_name: str, message_class: MessageClass | None) -> bytes:
+    """Encode the definition that the messages of this class name have which follow; None: unknown."""
+    definition = None if message_class is None else message_class.to_mapping()
+    return record(b"D", ["", class_name, definition])
+
+
+def _read_definition(class_name: str, definition: object) -> MessageClass | None:
+    """A recorded class; None if it is unknown, or in a form of a later build."""
+    try:
+        return None if definition is None else MessageClass.from_mapping(definition, class_name)
+    except ValueError:
+        return None
+
+
+class MessageEncoder:
+    """Encodes messages for one file: a class is defined before the first message that needs it."""
+
+    def __init__(self, defined: dict[str, MessageClass | None] | None = None) -> None:
+        """`defined`: the definitions that hold at the end of the file."""
+        self.defined = dict(defined or {})
+
+    def encode(self, messages: Iterable[StoredMessage]) -> bytes:
+        """Encode the messages, and the definitions that they need."""
+        records: list[bytes] = []
+        for stored in messages:
+            if self.defined.get(stored.class_name) != stored.message_class:
+                records.append(definition_record(stored.class_name, stored.message_class))
+                self.defined[stored.class_name] = stored.message_class
+            records.append(stored.record())
+        return b"".join(records)
+
+
 class JournalContents:
     """The state after applying records in order: the live messages, and the last outcomes."""
 
@@ -98,6 +135,7 @@
         self.live, self.outcomes = dict[str, StoredMessage](), OrderedDict[str, MessageOutcome]()
         self._max_outcomes = max_outcomes
         self._stamp: Stamp | None = None  # the last one read
+        self._defined: dict[str, MessageClass | None] = {}  # since that stamp, by class name
         self._newest_past = -math.inf  # newest recorded time that has passed, in the base of the stamp
 
     def read(self, content: bytes) -> int:
@@ -119,6 +157,11 @@
             if kind == b"C":
                 boot, wall, monotonic, base = head
                 self.rebase(Stamp(str(boot), float(wall), float(monotonic), float(base)))
+                self._defined = {}
+                return True
+            if kind == b"D":
+                _, class_name, definition = head
+                self._defined[class_name] = _read_definition(class_name, definition)
                 return True
             self.apply(kind, head, body)
             if kind == b"T":
@@ -172,8 +215,9 @@
         unreported = MessageOutcome(Status(notice[0]), notice[1]) if notice else None
         times = [(float(at), int(zone)) for at, zone in ran]
         stored = StoredMessage(
-            msg_id, class_name, expires, dest, key, front, body, attempts, times, unreported
-        )
+            msg_id, class_name, expires, dest, key, front, body, attempts, times, unreported,
+            self._defined.get(class_name),
+        )  # fmt: skip
         if msg_id in self.live:
             self.live[msg_id].merge(stored)
         else:
--- a/mountgauge/core/restore.py
+++ b/mountgauge/core/restore.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 
-from mountgauge.core.config import SettingNames
 from mountgauge.core.durable_time import ProcessTime
 from mountgauge.core.journal import StoredMessage
 from mountgauge.core.pending_messages import PendingMessage
@@ -14,12 +13,10 @@
 RESTORED_PER_TURN = 256  # thousands in one turn would keep clients and next hops waiting
 
 
-def outcome_without_class(stored: StoredMessage, names: SettingNames) -> MessageOutcome | None:
-    """The outcome of a message whose class this process has never had, so that its repeat rule is unknown:
-    deferred only if it certainly has not run. None if the class is known, or an outcome is on record.
+def outcome_without_class(stored: StoredMessage) -> MessageOutcome:
+    """The outcome of a message of an earlier build whose class this process has never had, so that its repeat
+    rule is unknown: deferred only if it certainly has not run.
     """
-    if names.known_class(stored.class_name) is not None or stored.notice is not None:
-        return None
     return MessageOutcome(Status.UNDELIVERABLE if stored.maybe_ran else Status.DEFERRED)
 
 
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -36,6 +36,7 @@
 )
 from mountgauge.core.restore import Backlog, outcome_without_class
 from mountgauge.core.send_state import SendState
+from mountgauge.core.setting_numbers import NumberedSettings, with_class
 from mountgauge.core.timers import Overdue, Timers
 from mountgauge.core.waits import Waits
 from mountgauge.log import kv
@@ -221,7 +222,7 @@
         for stored in messages:
             if stored.id in self.numbers_by_id:
                 continue
-            number = self.names.known_class(stored.class_name)
+            number = self._class_number(stored)
             message_class = None if number is None else self.rules.message_classes[number]
             expires = self.journal.time.monotonic(stored.expires)
             message = self._add_pending(stored, expires, message_class)
@@ -229,14 +230,26 @@
             if stored.notice is not None:  # abandoned by the other process, whose notice may be lost
                 message.finished = True
                 self.outcomes.report(message, stored.notice)
-            elif (outcome := outcome_without_class(stored, self.names)) is not None:
-                self.outcomes.abandon(message, outcome)
-            elif number is not None:
+            elif number is None:
+                self.outcomes.abandon(message, outcome_without_class(stored))
+            else:
                 self._backlog.add(message, number, self.journal.time)
         if messages:
             log.info("restored", extra=kv(messages=len(messages), cut_bytes=self.journal.truncated_bytes))
         self._schedule_turn()
 
+    def _class_number(self, stored: StoredMessage) -> int | None:
+        """The number of the class that a message was accepted with. A record of an earlier build has its name
+        alone: the class that has this name now, None if there is none.
+        """
+        if stored.message_class is None:
+            return self.names.known_class(stored.class_name)
+        in_force = NumberedSettings(self.rules, self.names)
+        numbered = with_class(in_force, stored.class_name, stored.message_class)
+        if numbered is not in_force:
+            self.apply_settings(numbered.rules, numbered.names)
+        return numbered.class_number(stored.class_name, stored.message_class)
+
     def forget_finished(self) -> None:
         """Drop the pending messages that finished according to an adopted journal: nothing more is owed."""
         for msg_id, number in list(self.numbers_by_id.items()):
--- a/mountgauge/core/setting_numbers.py
+++ b/mountgauge/core/setting_numbers.py
@@ -26,6 +26,11 @@
     rules: Settings
     names: SettingNames
 
+    def class_number(self, name: str, message_class: MessageClass) -> int:
+        """The number of a class that is known to be among them."""
+        known = zip(self.names.class_names, self.rules.message_classes, strict=True)
+        return list(known).index((name, message_class))
+
 
 def keep_numbers(in_force: NumberedSettings, new: NumberedSettings) -> NumberedSettings:
     """Arrange new settings so that each number of the ones in force keeps its meaning."""
@@ -47,6 +52,24 @@
     return NumberedSettings(rules, SettingNames(class_names, zones, kinds, removed))
 
 
+def with_class(in_force: NumberedSettings, name: str, message_class: MessageClass) -> NumberedSettings:
+    """Settings that have a number for a class of messages under way; new messages can't have it unless they
+    could before.
+    """
+    names, rules = in_force.names, in_force.rules
+    if (name, message_class) in zip(names.class_names, rules.message_classes, strict=True):
+        return in_force
+    number = len(names.class_names)
+    return NumberedSettings(
+        replace(rules, message_classes=(*rules.message_classes, message_class)),
+        replace(
+            names,
+            class_names=(*names.class_names, name),
+            removed_classes=names.removed_classes | {number},
+        ),
+    )
+
+
 def _with_new(known: tuple[str, ...], new: tuple[str, ...]) -> tuple[str, ...]:
     return tuple(dict.fromkeys((*known, *new)))
 
--- a/rillspindle/interface.py
+++ b/rillspindle/interface.py
@@ -249,6 +249,45 @@
     value: float  # of an answer within the target latency
     late_value: float  # its least share, at the deadline
 
+    @classmethod
+    def from_mapping(cls, raw: Any, name: str) -> MessageClass:
+        """Read a class in the settings' form; ValueError names the setting that is missing or wrong, after
+        the `name` of the class.
+        """
+
+        def field(key: str, *kinds: type, default: Any = None) -> Any:
+            value = raw.get(key, default) if isinstance(raw, Mapping) else None
+            if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+                raise ValueError(f"setting {name}.{key}: missing or wrong type")
+            return value
+
+        semantics = field("semantics", str)
+        # Only where they decide on a repeat; a default there would allow one that nobody chose.
+        keyed = semantics == "deduplicated"
+        return cls(
+            target_latency=float(field("aim", int, float)),
+            deadline=float(field("deadline", int, float)),
+            semantics=semantics,
+            group=field("group", str, default=None if keyed else "all"),
+            repeat_window=float(field("repeatWindow", int, float, default=None if keyed else 0.0)),
+            by_arrival=field("byArrival", bool, default=False),
+            value=float(field("worth", int, float)),
+            late_value=float(field("lateWorth", int, float)),
+        )
+
+    def to_mapping(self) -> dict[str, Any]:
+        """The class in the settings' form."""
+        return {
+            "aim": self.target_latency,
+            "deadline": self.deadline,
+            "semantics": self.semantics,
+            "group": self.group,
+            "repeatWindow": self.repeat_window,
+            "byArrival": self.by_arrival,
+            "worth": self.value,
+            "lateWorth": self.late_value,
+        }
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -297,27 +336,6 @@
                 raise ValueError(f"setting {path}: {'missing' if value is None else 'wrong type'}")
             return value
 
-        def message_class(index: int, raw: Any) -> MessageClass:
-            def field(name: str, *kinds: type, default: Any = None) -> Any:
-                value = raw.get(name, default) if isinstance(raw, Mapping) else None
-                if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-                    raise ValueError(f"setting grades[{index}].{name}: missing or wrong type")
-                return value
-
-            semantics = field("semantics", str)
-            # Only where they decide on a repeat; a default there would allow one that nobody chose.
-            keyed = semantics == "deduplicated"
-            return MessageClass(
-                target_latency=float(field("aim", int, float)),
-                deadline=float(field("deadline", int, float)),
-                semantics=semantics,
-                group=field("group", str, default=None if keyed else "all"),
-                repeat_window=float(field("repeatWindow", int, float, default=None if keyed else 0.0)),
-                by_arrival=field("byArrival", bool, default=False),
-                value=float(field("worth", int, float)),
-                late_value=float(field("lateWorth", int, float)),
-            )
-
         number = (int, float)
         return cls(
             balancers=max(1, get("balancers", int)),  # 0 balancers: only this one
@@ -325,7 +343,8 @@
             tick=float(get("tick", *number)),
             subscribe=get("discovery", str) == "subscribe",
             message_classes=tuple(
-                message_class(index, raw) for index, raw in enumerate(get("grades", list, tuple))
+                MessageClass.from_mapping(raw, f"grades[{index}]")
+                for index, raw in enumerate(get("grades", list, tuple))
             ),
             zones=len(get("localities", list, tuple, default=())),
             attempts_cap=get("ceilings.attemptsCap", int),
--- a/tests/crossings/test_restart.py
+++ b/tests/crossings/test_restart.py
@@ -24,7 +24,7 @@
 from tests.crossings.test_shutdown import Served
 from tests.driver import Driver, entry
 from tests.helper import HOST, run, until
-from tests.settings import settings
+from tests.settings import message_class, settings
 from tests.test_peers import listing
 from tests.test_sender import Bench
 
@@ -142,9 +142,9 @@
         assert ("a" in again.outcomes) is (not calls)
 
 
-def test_an_untried_message_of_a_removed_class_is_deferred(tmp_path: Path) -> None:
-    """The settings no longer have its class and repeat rule, but as it has not run, a repeat is harmless."""
-    bench = Bench(tmp_path)
+def journal_of_a_removed_class(folder: Path) -> Bench:
+    """A process that has accepted two messages, and attempted one, of a class that the next one lacks."""
+    bench = Bench(folder)
     bench.sender.start(bench.hops(Readiness.READY))
     bench.pass_time(0.01)
     for name in ("tried", "untried"):
@@ -152,11 +152,36 @@
         bench.pass_time(0.01)
     call = bench.calls[0]
     bench.sender.admit(call, call.items)
-    bench.journal.close()
-    again = Bench(tmp_path)
+    return bench
+
+
+def without_class(folder: Path) -> Bench:
+    """The next process, whose settings lack the class."""
+    again = Bench(folder, grades=[message_class(), message_class("deduplicated")])
     again.sender.names = SettingNames(("safe", "keyed"), ("near", "far"), ("one", "many"))
     again.sender.start(again.hops(Readiness.READY))
     again.pass_time(0.05)
+    return again
+
+
+def test_messages_of_a_removed_class_keep_its_repeat_rule(tmp_path: Path) -> None:
+    """Its definition is on record: the untried message is sent, the other one may not be repeated."""
+    journal_of_a_removed_class(tmp_path).journal.close()
+    again = without_class(tmp_path)
+    assert again.outcomes == {"tried": MessageOutcome(Status.UNDELIVERABLE)}
+    assert [item.id for call in again.calls for item in call.items] == ["untried"]
+
+
+def test_an_untried_message_of_a_removed_class_is_deferred(tmp_path: Path) -> None:
+    """The settings no longer have its class and repeat rule, but as it has not run, a repeat is harmless. An
+    earlier build has recorded the class's name alone.
+    """
+    bench = journal_of_a_removed_class(tmp_path)
+    for stored in bench.journal.live.values():
+        stored.message_class = None
+    bench.journal._rewrite(bench.journal._content())
+    bench.journal.close()
+    again = without_class(tmp_path)
     assert again.outcomes == {
         "tried": MessageOutcome(Status.UNDELIVERABLE),
         "untried": MessageOutcome(Status.DEFERRED),
