Read the other processes' journals before an id counts as new, and tell who waits here

Changed: each process reads the others' journals on before it takes an id for new; the last look and the record are made under a lock that dies with its holder, so there is no race.

--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -143,6 +143,7 @@
             on_answer,
             lambda: pending.channel.open,
             pending.connection.tenant,
+            awaits_outcome=True,
         )
 
     def report_outcome(self, msg_id: str, outcome: MessageOutcome, on_delivered: Callable[[], None]) -> None:
--- a/mountgauge/core/admission.py
+++ b/mountgauge/core/admission.py
@@ -16,6 +16,7 @@
 from mountgauge.core.message_outcomes import MessageOutcomes
 from mountgauge.core.pending_messages import PendingMessage, PendingMessages
 from mountgauge.core.ports import Accepted, Answer, MessageOutcome, Status, Submission, TenantGate
+from mountgauge.core.remote_outcomes import RemoteOutcomes
 from mountgauge.log import kv
 from rillspindle import Policy, send_guard
 
@@ -36,10 +37,11 @@
         pending: PendingMessages,
         attempts: Attempts,
         outcomes: MessageOutcomes,
+        remote: RemoteOutcomes,
         counts: Counter[tuple[str, str]],
-        started: float,
+        now: Callable[[], float],
     ) -> None:
-        """`started`: when the process started, on the sender's clock in seconds."""
+        """`now` is the sender's clock, in seconds; the process has just started."""
         self.rules, self.names = policy.settings, names
         self.gate: TenantGate | None = None  # set if messages are counted per tenant
         # Discovery has sent this process the full list, or confirmed the one that it was started with.
@@ -49,16 +51,35 @@
         # Whether it would have to wait for a source of lists that fails, while other senders may have a list.
         self.lacks_list: Callable[[], bool] = lambda: False
         self._policy, self._journal, self._table, self._pending = policy, journal, table, pending
-        self._attempts, self._outcomes, self._counts, self._started = attempts, outcomes, counts, started
+        self._attempts, self._outcomes, self._counts = attempts, outcomes, counts
+        self._now, self._started = now, now()
+        self._remote = remote
 
     def known(self, submission: Submission) -> Answer | None:
-        """The answer to a submission whose id is known; None if the id is new."""
+        """The answer to a submission whose id is known; None if it is new, as far as this process can tell
+        before it records the message.
+        """
         if (number := self._pending.numbers_by_id.get(submission.id)) is not None:
-            # A repeated submission of an accepted message, or another message under the same id.
-            known = self._pending[number].stored
-            same = (known.dest, known.key, known.body) == (submission.dest, submission.key, submission.body)
-            return Accepted() if same else MessageOutcome(Status.UNDELIVERABLE)
-        return self._journal.outcomes.get(submission.id)
+            message = self._pending[number]
+            if submission.awaits_outcome:
+                message.awaiting_front = submission.front
+            return _answer_to_repeat(message.stored, submission)
+        if (outcome := self._journal.outcomes.get(submission.id)) is not None:
+            return outcome
+        self._journal.read_others()
+        return self._known_elsewhere(submission)
+
+    def _known_elsewhere(self, submission: Submission) -> Answer | None:
+        """The answer to a submission whose id another process of the folder has accepted."""
+        others = self._journal.others
+        if (outcome := others.outcome(submission.id)) is not None:
+            return outcome
+        if (stored := others.message(submission.id)) is None:
+            return None
+        answer = _answer_to_repeat(stored, submission)
+        if isinstance(answer, Accepted) and submission.awaits_outcome:
+            self._remote.await_outcome(submission)
+        return answer
 
     def answer_while_stopping(self, submission: Submission) -> None:
         """Reject a new message, and answer a known one as usual."""
@@ -74,7 +95,7 @@
             return MessageOutcome(Status.DEFERRED)
         if (known := self.known(submission)) is not None:
             return known
-        if not send_guard.may_accept(bool(self._journal.unreadable), now - self._started):
+        if not self._may_accept():
             return MessageOutcome(Status.DEFERRED, _RETRY_AFTER_MS)
         if self.isolated():
             self._counts["refused", "cut-off"] += 1
@@ -125,21 +146,36 @@
             message_class=self.rules.message_classes[submission.message_class],
         )
 
-    def accept(self, submission: Submission, message: PendingMessage) -> bool:
-        """Journal the message and answer its client; False, with no answer, if the journal failed."""
+    def accept(self, submission: Submission, message: PendingMessage) -> Answer | None:
+        """Journal the message and answer its client. Otherwise nothing is recorded here, and the result is
+        the answer: the journal failed, or another process has accepted the id.
+        """
         try:
-            self._journal.accept(message.stored)
+            with self._journal.deciding_on_id():
+                if (known := self._known_elsewhere(submission)) is not None:
+                    return known
+                if not self._may_accept():
+                    return MessageOutcome(Status.DEFERRED, _RETRY_AFTER_MS)
+                self._journal.accept(message.stored)
         except JournalFullError as error:
             # The disk may be full although the byte count allowed it. An unrecorded message isn't accepted.
             log.warning("journal-full", extra=kv(reason=error))
-            return False
+            return MessageOutcome(Status.DEFERRED)
+        except OSError as error:
+            log.warning("ids-not-known", extra=kv(reason=error))
+            return MessageOutcome(Status.DEFERRED, _RETRY_AFTER_MS)
         self._counts["taken", ""] += 1
         if self.gate is not None:
             self.gate.accepted(submission.tenant)
         submission.answer(Accepted())
-        return True
+        return None
+
+    def _may_accept(self) -> bool:
+        """Whether the ids in the folder's journals are known, or are no longer waited for."""
+        unread = bool(self._journal.unreadable) or self._journal.others.unread
+        return send_guard.may_accept(unread, self._now() - self._started)
 
-    def reject(self, submission: Submission, message: PendingMessage, outcome: MessageOutcome) -> None:
+    def reject(self, submission: Submission, message: PendingMessage, answer: Answer) -> None:
         """Answer the client and remove all state of the message."""
         message.finished = True
         self._outcomes.remove(message)
@@ -147,5 +183,12 @@
             self.gate.refund(submission.tenant)
         if self._attempts.call_gate is not None:
             self._attempts.call_gate.refund(submission.tenant)
-        self._counts["refused", outcome.status.value] += 1
-        submission.answer(outcome)
+        if isinstance(answer, MessageOutcome):
+            self._counts["refused", answer.status.value] += 1
+        submission.answer(answer)
+
+
+def _answer_to_repeat(stored: StoredMessage, submission: Submission) -> Answer:
+    """The answer to a repeated submission of an accepted message, or to another one under the same id."""
+    same = (stored.dest, stored.key, stored.body) == (submission.dest, submission.key, submission.body)
+    return Accepted() if same else MessageOutcome(Status.UNDELIVERABLE)
--- a/mountgauge/core/files.py
+++ b/mountgauge/core/files.py
@@ -27,6 +27,9 @@
     def read(self, path: Path) -> bytes:
         """Return the complete content."""
 
+    def read_at(self, file: int, size: int, offset: int) -> bytes:
+        """Return up to `size` bytes of the open file, from `offset` on."""
+
     def write(self, file: int, data: memoryview) -> int:
         """Return how many bytes were written."""
 
@@ -50,6 +53,9 @@
     def read(self, path: Path) -> bytes:
         return path.read_bytes()
 
+    def read_at(self, file: int, size: int, offset: int) -> bytes:
+        return os.pread(file, size, offset)
+
     def write(self, file: int, data: memoryview) -> int:
         return os.write(file, data)
 
--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -13,7 +13,7 @@
 import errno
 import math
 import os
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -29,6 +29,7 @@
     record,
 )
 from mountgauge.core.journal_slots import SLOTS, lock_path, lock_slot, same_file, slot_paths
+from mountgauge.core.other_journals import IdLock, OtherJournals
 from mountgauge.core.ports import MessageOutcome
 
 __all__ = ["Journal", "JournalFullError", "JournalUnavailableError", "StoredMessage"]
@@ -38,6 +39,7 @@
 _PER_MESSAGE_BYTES = 512  # for the records of attempts and an outcome that follow a message
 _COMPACTION_SLACK_BYTES = 256 * 1024  # dead bytes that do not justify a compaction
 _MAX_OUTCOMES = 2000  # remembered, to answer ids that are submitted again
+_RECENT_S = 0.1
 _COMPACT_RETRY_S = 1.0  # after a compaction that failed
 
 
@@ -102,6 +104,9 @@
         self._max_bytes = disk_bytes
         self._slots = slots
         self._space = FolderSpace(folder, slots)
+        self.others = OtherJournals(self._files, folder, self._max_outcomes)
+        self._id_lock = IdLock(self._files, folder)
+        self._measure_is_current = False  # no other process accepts anything since the folder was measured
         self.failing = False  # the last write failed
         self.on_failing: Callable[[], None] | None = None  # called when `flush` has to be called later
         self._unwritten: list[bytes] = []  # records that must be written before any later one
@@ -156,11 +161,15 @@
 
     def _read(self, content: bytes, now: Stamp) -> tuple[JournalContents, int]:
         """The contents of a file, and how many bytes at its end are no complete records."""
-        contents = JournalContents(min(_MAX_OUTCOMES, self._max_bytes // 1024))
+        contents = JournalContents(self._max_outcomes)
         incomplete_bytes = len(content) - contents.read(content)
         contents.rebase(now)
         return contents, incomplete_bytes
 
+    @property
+    def _max_outcomes(self) -> int:
+        return min(_MAX_OUTCOMES, self._max_bytes // 1024)
+
     def close(self) -> None:
         """Close the journal; records that cannot be written now are lost."""
         self.flush()
@@ -168,6 +177,8 @@
         self._close(self._file)
         for lock in (self._lock, *self._adopted_locks.values()):
             self._close(lock)
+        self._id_lock.close()
+        self.others.close()
 
     def _close(self, file: int) -> None:
         with contextlib.suppress(OSError):  # the descriptor is closed even if this fails
@@ -188,6 +199,7 @@
         Returns False if another process holds the slot now, and owns what is in the folder.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
+        self._id_lock.close()  # its file is missing as well
         if same_file(lock_path(self.folder, self.slot), self._lock):  # only the journal is missing
             self._rewrite(self._content())
             return True
@@ -246,6 +258,26 @@
 
     # Other slots
 
+    def read_others(self) -> None:
+        """Read what the other processes of the folder have recorded since the last time."""
+        found = self._space.look(self.slot, self.time.now())
+        for slot in self._adopted_locks.keys() & found.keys():  # outdated: the records are in this journal
+            del found[slot]
+        self.others.read_on(found)
+
+    @contextlib.contextmanager
+    def deciding_on_id(self) -> Iterator[None]:
+        """No other process of the folder accepts a message meanwhile, and what they have accepted is read.
+        Raises OSError if that cannot be had.
+        """
+        with self._id_lock.held():
+            self.read_others()
+            self._measure_is_current = True
+            try:
+                yield
+            finally:
+                self._measure_is_current = False
+
     def adopt(self) -> list[StoredMessage]:
         """Adopt the journal of each slot whose process has ended, and return its messages.
 
@@ -280,11 +312,12 @@
                 self._remove_if_possible(spare)
                 content = self._files.read(path)
                 copies = self._copies(content)
-                if self._space_left() >= blocks(self._size + copies.size) - blocks(self._size):
-                    self._write(copies.outcomes, copies.messages)
-                    outdated = _HeldSlot(slot, lock)
-                else:
-                    outdated = self._move_to(slot, lock, len(content) - copies.incomplete_bytes)
+                with self._id_lock.held():  # a third process finds each id in one of the two files
+                    if self._space_left() >= blocks(self._size + copies.size) - blocks(self._size):
+                        self._write(copies.outcomes, copies.messages)
+                        outdated = _HeldSlot(slot, lock)
+                    else:
+                        outdated = self._move_to(slot, lock, len(content) - copies.incomplete_bytes)
                 fresh = self._apply_copies(copies)
                 self._adopted_locks[outdated.slot] = outdated.lock
             finally:
@@ -401,7 +434,8 @@
 
         def full() -> bool:
             both = blocks(self._size + size) + blocks(self._compact_bytes() + size)
-            return both + _RESERVE_BYTES + self._beside() > self._max_bytes
+            beside = self._beside(_RECENT_S if self._measure_is_current else 0.0)
+            return both + _RESERVE_BYTES + beside > self._max_bytes
 
         return self._has_room(full)
 
@@ -415,8 +449,9 @@
 
         def full() -> bool:
             own = blocks(self._size + size)
-            recent = self._space.beside_recently(self.slot, self.time.now())
-            return own + _RESERVE_BYTES + recent > self._max_bytes and own + self._beside() > self._max_bytes
+            if own + _RESERVE_BYTES + self._beside(_RECENT_S) <= self._max_bytes:
+                return False
+            return own + self._beside() > self._max_bytes
 
         return self._has_room(full)
 
@@ -427,9 +462,9 @@
         self._compact()
         return not full()
 
-    def _beside(self) -> int:
-        """The part of the limit that other files of the folder take."""
-        return self._space.beside(self.slot, self.time.now())
+    def _beside(self, max_age_s: float = 0.0) -> int:
+        """The part of the limit that other files of the folder take, measured at most so long ago."""
+        return self._space.beside(self.slot, self.time.now(), max_age_s)
 
     def _space_left(self) -> int:
         """How many bytes this process may still write."""
--- a/mountgauge/core/message_outcomes.py
+++ b/mountgauge/core/message_outcomes.py
@@ -88,6 +88,20 @@
         self.remove(message)
         self._counts["end", outcome.status.value] += 1
         self._front(message).report_outcome(message.stored.id, outcome, lambda: None)
+        self._tell_other_front(message, outcome)
+
+    def finished_elsewhere(self, message: PendingMessage, outcome: MessageOutcome) -> None:
+        """Remove a message that another process has finished; clients of this one may wait for it."""
+        message.finished = True
+        self.remove(message)
+        if message.awaiting_front:
+            self._fronts[message.awaiting_front].report_outcome(message.stored.id, outcome, lambda: None)
+
+    def _tell_other_front(self, message: PendingMessage, outcome: MessageOutcome) -> None:
+        """Tell a client that waits on another front than the one that accepted the message."""
+        name, message.awaiting_front = message.awaiting_front, ""
+        if name and name != message.stored.front:
+            self._fronts[name].report_outcome(message.stored.id, outcome, lambda: None)
 
     def report(self, message: PendingMessage, outcome: MessageOutcome) -> None:
         """Report an outcome, which is owed until the front confirms that it was received."""
@@ -96,11 +110,13 @@
             if message.number in self._pending:
                 self._journal.finish(message.stored.id, outcome)
                 self.remove(message)
+                self._tell_other_front(message, outcome)  # one that has waited since the report
 
         self._counts["end", outcome.status.value] += 1
         if outcome.status is Status.DEFERRED:
             self._monitor.rejected(message.stored.id, message.message_class)
         self._front(message).report_outcome(message.stored.id, outcome, confirmed)
+        self._tell_other_front(message, outcome)
 
     def remove(self, message: PendingMessage) -> None:
         """The message is no longer pending."""
--- a/mountgauge/core/pending_messages.py
+++ b/mountgauge/core/pending_messages.py
@@ -22,6 +22,7 @@
     issued: int = 0  # attempts that the decision module has ordered
     call: Call | None = None
     finished: bool = False
+    awaiting_front: str = ""  # the front of a client whose connection waits for the outcome
 
 
 class PendingMessages(dict[int, PendingMessage]):
--- a/mountgauge/core/ports.py
+++ b/mountgauge/core/ports.py
@@ -50,6 +50,7 @@
     answer: Callable[[Answer], None]
     client_waiting: Callable[[], bool]  # whether the client still waits for the answer
     tenant: str = ""  # whose quota it counts against
+    awaits_outcome: bool = False  # the client's connection waits for the outcome, not only for the answer
 
 
 class NextHop(NamedTuple):
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -20,6 +20,7 @@
 from mountgauge.core.message_outcomes import MessageOutcomes
 from mountgauge.core.pending_messages import PendingMessage, PendingMessages
 from mountgauge.core.ports import (
+    Answer,
     AttemptResult,
     Call,
     CallGate,
@@ -34,6 +35,7 @@
     Status,
     Submission,
 )
+from mountgauge.core.remote_outcomes import RemoteOutcomes
 from mountgauge.core.restore import Backlog, outcome_without_class
 from mountgauge.core.send_state import SendState
 from mountgauge.core.setting_numbers import NumberedSettings, with_class
@@ -87,6 +89,7 @@
             state, clock, journal, self.table, self.pending, self.waits, self.counts, self.monitor,
             self._enqueue, self.outcomes.finish,
         )  # fmt: skip
+        self.remote_outcomes = RemoteOutcomes(journal, fronts, clock)
         self.admission = Admission(
             policy,
             names,
@@ -95,8 +98,9 @@
             self.pending,
             self.attempts,
             self.outcomes,
+            self.remote_outcomes,
             self.counts,
-            clock.now(),
+            clock.now,
         )
         journal.on_failing = self._schedule_flush
         self._flush_scheduled = False
@@ -226,6 +230,7 @@
             message_class = None if number is None else self.rules.message_classes[number]
             expires = self.journal.time.monotonic(stored.expires)
             message = self._add_pending(stored, expires, message_class)
+            self.remote_outcomes.adopted(message)
             self.monitor.restored(stored.id, self.attempts.state.maybe_ran(message.number))
             if stored.notice is not None:  # abandoned by the other process, whose notice may be lost
                 message.finished = True
@@ -251,12 +256,12 @@
         return numbered.class_number(stored.class_name, stored.message_class)
 
     def forget_finished(self) -> None:
-        """Drop the pending messages that finished according to an adopted journal: nothing more is owed."""
+        """Drop the pending messages that finished according to an adopted journal: nothing more is owed but
+        the outcome to the clients that wait for it here.
+        """
         for msg_id, number in list(self.numbers_by_id.items()):
             if msg_id in self.journal.outcomes and msg_id not in self.journal.live:
-                message = self.pending[number]
-                message.finished = True
-                self.outcomes.remove(message)
+                self.outcomes.finished_elsewhere(self.pending[number], self.journal.outcomes[msg_id])
                 self._enqueue(io.Withdrawn(number))
 
     @property
@@ -482,7 +487,9 @@
             return None
         expires = now + submission.remaining_s
         message_class = self.rules.message_classes[submission.message_class]
-        return self._add_pending(self.admission.stored(submission, expires), expires, message_class)
+        message = self._add_pending(self.admission.stored(submission, expires), expires, message_class)
+        message.awaiting_front = submission.front if submission.awaits_outcome else ""
+        return message
 
     def _add_pending(
         self, stored: StoredMessage, expires: float, message_class: io.MessageClass | None
@@ -518,14 +525,13 @@
             elif isinstance(action, io.Abort):
                 rejections[action.msg_id] = MessageOutcome(Status.UNDELIVERABLE)
         for number, (submission, message) in fresh.items():
-            outcome = rejections.get(number)
-            if outcome is None:
-                if self.admission.accept(submission, message):
+            answer: Answer | None = rejections.get(number)
+            if answer is None:
+                if (answer := self.admission.accept(submission, message)) is None:
                     continue
-                outcome = MessageOutcome(Status.DEFERRED)
                 self._ready.append(io.Withdrawn(number))
                 self._schedule_turn()
-            self.admission.reject(submission, message, outcome)
+            self.admission.reject(submission, message, answer)
 
     def _carry_out(self, actions: list[io.Action], now: float) -> None:
         calls = CallBatches(now, self.rules.kind_batch)
--- a/mountgauge/lab/faults/files.py
+++ b/mountgauge/lab/faults/files.py
@@ -50,6 +50,10 @@
         self._call("read")
         return super().read(path)
 
+    def read_at(self, file: int, size: int, offset: int) -> bytes:
+        self._call("read")
+        return super().read_at(file, size, offset)
+
     def write(self, file: int, data: memoryview) -> int:
         self._call("write")
         if self.writable_bytes is None:
--- a/tests/crossings/test_records.py
+++ b/tests/crossings/test_records.py
@@ -175,6 +175,13 @@
     second.close()
 
     class Unreadable(FailingFiles):
+        """Neither the adoption nor the reading beside a running process gets at this journal's content."""
+
+        def open(self, path: Path, flags: int) -> int:
+            if path.name == "journal.1" and not flags & os.O_ACCMODE:
+                self._call("read other")
+            return super().open(path, flags)
+
         def read(self, path: Path) -> bytes:
             if path.name == "journal.1":
                 self._call("read other")
