Limit AMQP content headers, count them as memory, and time each incomplete message by itself

Cause: heads counted nowhere and were limited by the frame alone; held publishes had no limit in bytes, incomplete ones none without [clients]; the time of an incomplete message ran from when nothing had been left over. Changed: a head holds at most 16 KiB and 256 fields; incomplete messages and publishes that wait for their outcome are limited to an eighth of the memory each; each incomplete message has its own time.

--- a/mountgauge/amqp/clients.py
+++ b/mountgauge/amqp/clients.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections.abc import Callable
 from typing import Any
 
 from mountgauge.access import Access
+from mountgauge.amqp.codec import TooManyFieldsError
 from mountgauge.amqp.connection import AmqpConnection, PendingPublish, PublisherFront
 from mountgauge.connections.admission import Bounds
 from mountgauge.connections.registry import Registry
@@ -36,8 +38,10 @@
         heartbeat: int = 30,
         exchange: str = "mountgauge",
         registry: Registry | None = None,
+        max_held_bytes: float = math.inf,
     ) -> None:
-        """`class_names` and `classes` list the message classes in the same order.
+        """`class_names` and `classes` list the message classes in the same order. `max_held_bytes`: memory
+        of publishes that have no outcome yet.
 
         Without a `registry`, default settings for `max_connections` connections apply.
         """
@@ -53,6 +57,7 @@
         self._submit, self._class_names, self._classes = submit, class_names, classes
         self.access, self.heartbeat, self.exchange = access or Access(), heartbeat, exchange
         self._unsettled: dict[str, list[PendingPublish]] = {}
+        self._max_held_bytes, self._held_bytes = max_held_bytes, 0
         self._last_phase = 0.0
 
     async def listen(self, host: str, port: int) -> None:
@@ -77,19 +82,22 @@
     # Messages
 
     def publish(self, pending: PendingPublish) -> None:
-        """Submit a publish to the core, or settle it at once if it is invalid or over `_MAX_UNSETTLED`."""
-        if pending.connection.unsettled > _MAX_UNSETTLED:
-            pending.connection.settle(pending, self._with_retry_delay(MessageOutcome(Status.DEFERRED)))
+        """Submit a publish to the core, or settle it at once if it is invalid or above a limit."""
+        self._held_bytes += pending.content.held_bytes
+        if pending.connection.unsettled > _MAX_UNSETTLED or self._held_bytes > self._max_held_bytes:
+            self._settle(pending, self._with_retry_delay(MessageOutcome(Status.DEFERRED)))
             return
         try:
             submission = self._build_submission(pending)
-        except ValueError as error:
-            pending.connection.settle(
-                pending, MessageOutcome(Status.UNDELIVERABLE), f"UNDELIVERABLE - {error}"
-            )
+        except (ValueError, TooManyFieldsError) as error:
+            self._settle(pending, MessageOutcome(Status.UNDELIVERABLE), f"UNDELIVERABLE - {error}")
             return
         self._submit(submission)
 
+    def _settle(self, pending: PendingPublish, outcome: MessageOutcome, text: str = "") -> None:
+        self._held_bytes -= pending.content.held_bytes
+        pending.connection.settle(pending, outcome, text)
+
     def overloaded(self, connection: AmqpConnection) -> bool:
         """See `PublisherFront`; counts the deferred publishes."""
         if not self.registry.overload.should_reject(self.registry.now(), connection.woken):
@@ -130,7 +138,7 @@
                 self._unsettled.setdefault(msg_id, []).append(pending)
                 self.registry.overload.count_served(self.registry.now())
             else:
-                pending.connection.settle(pending, self._with_retry_delay(answer))
+                self._settle(pending, self._with_retry_delay(answer))
 
         return Submission(
             msg_id,
@@ -149,7 +157,7 @@
     def report_outcome(self, msg_id: str, outcome: MessageOutcome, on_delivered: Callable[[], None]) -> None:
         """Settle every publish of this message id; one on a closed channel gets no frame."""
         for pending in self._unsettled.pop(msg_id, ()):
-            pending.connection.settle(pending, outcome)
+            self._settle(pending, outcome)
         on_delivered()
 
 
--- a/mountgauge/amqp/codec.py
+++ b/mountgauge/amqp/codec.py
@@ -11,6 +11,7 @@
 METHOD, HEADER, BODY, HEARTBEAT = 1, 2, 3, 8  # frame types
 FRAME_END = 0xCE
 FRAME_OVERHEAD = 8  # bytes of a frame beside its payload
+MAX_FIELDS = 256  # of all tables and arrays in one method or content header
 FRAME_MIN = 4096  # frame-min-size of the specification: every peer must accept frames of this size
 
 
@@ -25,6 +26,13 @@
         self.class_id, self.method_id = class_id, method_id
 
 
+class TooManyFieldsError(AmqpError):
+    """Tables of more fields than are decoded: decoding them would hold up all other connections."""
+
+    def __init__(self) -> None:
+        super().__init__(502, f"SYNTAX_ERROR - more than {MAX_FIELDS} fields")
+
+
 _FRAME_HEADER = struct.Struct(">BHI")
 
 
@@ -113,11 +121,26 @@
 _MAX_TABLE_DEPTH = 8
 
 
+class _FieldCount:
+    """Counts the fields of one method or content header; TooManyFieldsError above the limit."""
+
+    __slots__ = ("_left",)
+
+    def __init__(self) -> None:
+        self._left = MAX_FIELDS
+
+    def add_field(self) -> None:
+        self._left -= 1
+        if self._left < 0:
+            raise TooManyFieldsError
+
+
 class _Reader:
     """Decodes typed values from a buffer; AmqpError where the buffer is too short."""
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, fields: _FieldCount | None = None) -> None:
         self.data, self.offset = data, 0
+        self._fields = fields or _FieldCount()
 
     def read(self, count: int) -> bytes:
         if count < 0 or self.offset + count > len(self.data):
@@ -132,9 +155,10 @@
         return self.read(self.number(">B")).decode("utf-8", "replace")
 
     def table(self, depth: int = 0) -> dict[str, Any]:
-        inner = _Reader(self.read(self.number(">I")))
+        inner = _Reader(self.read(self.number(">I")), self._fields)
         found: dict[str, Any] = {}
         while inner.offset < len(inner.data):
+            self._fields.add_field()
             name = inner.shortstr()
             found[name] = inner.table_value(depth + 1)
         return found
@@ -151,9 +175,10 @@
         if kind == b"F":
             return self.table(depth)
         if kind == b"A":
-            inner = _Reader(self.read(self.number(">I")))
+            inner = _Reader(self.read(self.number(">I")), self._fields)
             items = []
             while inner.offset < len(inner.data):
+                self._fields.add_field()
                 items.append(inner.table_value(depth + 1))
             return items
         if kind == b"D":
@@ -366,6 +391,9 @@
 )  # fmt: skip
 
 
+_CONTENT_BYTES = 2048  # of a message's objects beside its header and its body
+
+
 @dataclass(slots=True)
 class Content:
     """A message that is being received: its method, its header, and the body received so far."""
@@ -374,6 +402,7 @@
     size: int = -1  # of the body in bytes; -1: the header has not been received
     header: bytes = b""  # payload of the header frame
     body: bytearray = field(default_factory=bytearray)
+    since: float = 0.0  # loop time at which its first frame was handled
     _properties: dict[str, Any] | None = None
 
     @property
@@ -383,6 +412,11 @@
             self._properties = decode_header(self.header)[1]
         return self._properties
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that it takes."""
+        return _CONTENT_BYTES + len(self.header) + len(self.body)
+
     @property
     def complete(self) -> bool:
         """Whether the complete body has been received."""
--- a/mountgauge/amqp/connection.py
+++ b/mountgauge/amqp/connection.py
@@ -147,9 +147,10 @@
         """
         if self.state is State.CLOSED:
             return
-        partial = self.has_partial_message and self.state is State.READY
+        # Received frames that wait for the connection's turn are not the client's delay.
+        partial = self.has_partial_message and self.state is State.READY and not self._frames_pending
         if partial:
-            deadline = self._partial_since + self._front.times.half
+            deadline = self.partial_since + self._front.times.half
             if deadline != self._partial_deadline:
                 self._partial_deadline = deadline
                 self.arm(self.deadline)
--- a/mountgauge/amqp/link.py
+++ b/mountgauge/amqp/link.py
@@ -14,6 +14,7 @@
 # Shared by all connections: its content is copied out before the event loop reads again.
 RECEIVE_BUFFER = bytearray(64 * 1024)
 MAX_BODY_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 16 * 1024  # of a content header; a publisher needs a small part of it
 FRAME_MAX = 128 * 1024  # bytes
 _HEARTBEAT_GRACE_S = 0.25  # beyond two intervals, for a heartbeat in transit
 _CLOSE_TIMEOUT_S = 2.0  # for the answer to a connection.close
@@ -38,9 +39,21 @@
     """
 
     __slots__ = (
-        "_close_deadline", "_contents", "_drain", "_frames_pending", "_heartbeat_s", "_last_read_at",
-        "_next_heartbeat_at", "_parser", "_partial_since", "_timer", "bytes_written", "flushed", "frame_max",
-        "state", "transport",
+        "_close_deadline",
+        "_contents",
+        "_drain",
+        "_frame_since",
+        "_frames_pending",
+        "_heartbeat_s",
+        "_last_read_at",
+        "_next_heartbeat_at",
+        "_parser",
+        "_timer",
+        "bytes_written",
+        "flushed",
+        "frame_max",
+        "state",
+        "transport",
     )  # fmt: skip
     frames_per_turn = 1 << 30  # frames handled before other connections get their turn
 
@@ -54,7 +67,7 @@
         self._contents: dict[int, Content] = {}
         self._heartbeat_s = 0.0
         self._drain: InputDiscarder | None = None  # set once further input is discarded
-        self._partial_since = 0.0  # first read since nothing incomplete was left over
+        self._frame_since = 0.0  # when the incomplete frame at the end of the input began
         self._frames_pending = False  # received frames wait for the connection's next turn
         self._last_read_at = 0.0
         self._next_heartbeat_at = math.inf
@@ -185,8 +198,8 @@
         if self._drain is not None:
             self._drain.on_data()
             return
-        if not self.has_partial_message:
-            self._partial_since = self._last_read_at
+        if not self._parser.partial:
+            self._frame_since = self._last_read_at
         self._parser.feed(memoryview(RECEIVE_BUFFER)[:nbytes])
         self.read_frames()
 
@@ -195,10 +208,16 @@
         """Whether a frame or a message has been received in part."""
         return self._parser.partial or bool(self._contents)
 
+    @property
+    def partial_since(self) -> float:
+        """When the oldest frame or message began that was received in part; infinite if there is none."""
+        frame_since = self._frame_since if self._parser.partial else math.inf
+        return min([frame_since, *(content.since for content in self._contents.values())])
+
     @property
     def partial_bytes(self) -> int:
-        """Buffered bytes of frames and messages received in part."""
-        return self._parser.buffered_bytes + sum(len(content.body) for content in self._contents.values())
+        """The memory of frames and messages received in part."""
+        return self._parser.buffered_bytes + sum(content.held_bytes for content in self._contents.values())
 
     def read_frames(self) -> None:
         """Handle the frames received, up to `frames_per_turn`."""
@@ -221,6 +240,7 @@
                 return
             if frame is None:
                 return
+            self._frame_since = self._last_read_at  # of what follows it
             try:
                 self._handle_frame(frame)
             except AmqpError as error:
@@ -245,7 +265,7 @@
                 raise AmqpError(505, "UNEXPECTED_FRAME - method inside a content")
             method = codec.decode_method(payload)
             if method.name in ("basic.publish", "basic.return"):
-                self._contents[channel] = Content(method)
+                self._contents[channel] = Content(method, since=self._last_read_at)
             if self.state is not State.CLOSING or method.name in ("connection.close", "connection.close-ok"):
                 self.on_method(channel, method)
             return
@@ -259,7 +279,7 @@
             if content.size >= 0:
                 raise AmqpError(505, "UNEXPECTED_FRAME - a second header")
             content.size, content.header = codec.content_size(payload), payload
-            if content.size > MAX_BODY_BYTES:
+            if content.size > MAX_BODY_BYTES or len(payload) > MAX_HEADER_BYTES:
                 del self._contents[channel]
                 raise AmqpError(311, "CONTENT_TOO_LARGE", False, codec.BASIC_CLASS_ID, 40)
         elif kind == codec.BODY:
--- a/mountgauge/connections/settings.py
+++ b/mountgauge/connections/settings.py
@@ -47,10 +47,15 @@
 _OPEN = Times(handshake=5.0, half=5.0, idle=300.0, unread=10.0, keepalive=60, user_timeout=30)
 
 
-def default_settings(share: int, publishers: int) -> ClientSettings:
+def default_buffers(memory: int) -> float:
+    """The bytes of all incomplete commands, and again of unread answers, for a limit on the memory."""
+    return memory / 8
+
+
+def default_settings(share: int, publishers: int, buffers: float = INFINITE) -> ClientSettings:
     """The settings for an operator's file without `[clients]`."""
     few = min(share, publishers)
-    return ClientSettings(2 * share, share, few, 0, True, Times(), _AMQP, INFINITE, INFINITE)
+    return ClientSettings(2 * share, share, few, 0, True, Times(), _AMQP, buffers, INFINITE)
 
 
 def read_clients(table: Table, available: int, memory: int) -> ClientSettings:
@@ -96,7 +101,7 @@
     )
     # AMQP has heartbeats, so an idle publisher is closed only if the file sets a limit.
     amqp = replace(resp, idle=idle if "idle" in table.raw else INFINITE)
-    buffers = table.positive("buffers_mb", memory / 8e6) * 1e6
+    buffers = table.positive("buffers_mb", default_buffers(memory) / 1e6) * 1e6
     if not MIN_BUFFER_BYTES <= buffers <= memory / 2:
         raise ConfigError(
             f"clients.buffers_mb: between {MIN_BUFFER_BYTES / 1e6} and half of limits.memory_mb"
--- a/mountgauge/run/operator.py
+++ b/mountgauge/run/operator.py
@@ -14,7 +14,7 @@
 from mountgauge.connections.front import Front
 from mountgauge.connections.metrics import ConnectionMetrics, client_metrics
 from mountgauge.connections.registry import Registry
-from mountgauge.connections.settings import default_settings
+from mountgauge.connections.settings import default_buffers, default_settings
 from mountgauge.core.config import Address, ConfigError
 from mountgauge.file_map import FileMap
 from mountgauge.log import kv
@@ -174,7 +174,8 @@
         operator, rules, names = self.operator, self.config.rules, self.config.names
         clients, _ = socket_shares(self.config.limits.sockets, rules.workers)
         share = clients // ((operator.resp is not None) + (operator.amqp is not None))
-        settings = operator.clients or default_settings(share, _MAX_AMQP_CONNECTIONS)
+        buffers = default_buffers(self.config.limits.memory_bytes)
+        settings = operator.clients or default_settings(share, _MAX_AMQP_CONNECTIONS, buffers)
         # The system may allow fewer descriptors than the file assumes; next hops and other files keep theirs.
         most_clients, _ = shares(self.config.limits.sockets, rules.workers)
         self.registry = Registry(replace(settings, most=min(settings.most, most_clients)))
@@ -190,6 +191,7 @@
             amqp = AmqpClients(
                 self.sender.submit, names.class_names, rules.message_classes, settings.most_amqp,
                 operator.access, operator.amqp.heartbeat, operator.amqp.exchange, self.registry,
+                max_held_bytes=default_buffers(self.config.limits.memory_bytes),
             )  # fmt: skip
             self.fronts["amqp"] = amqp
             self.listeners.append((amqp, operator.amqp.listen))
