Record zones by their names, which hold over a restart

Cause: an attempt's zone was on record as a place in a list, and the next process read it with its own list. Changed: a record Z names the zones by number, up to the next stamp; a reader converts them to its own numbers, and a zone that its settings lack gets a number that no reload gives to another one. Earlier builds ignore Z.

--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -24,9 +24,11 @@
     JournalContents,
     MessageEncoder,
     StoredMessage,
+    ZoneNames,
     definition_record,
     outcome_records,
     record,
+    zones_record,
 )
 from mountgauge.core.journal_slots import SLOTS, lock_path, lock_slot, same_file, slot_paths
 from mountgauge.core.other_journals import IdLock, OtherJournals
@@ -93,13 +95,19 @@
         slots: int = SLOTS,
         clock: Clocks | None = None,
         files: Files | None = None,
+        zones: Iterable[str] = (),
     ) -> None:
-        """Raises JournalUnavailableError if the system fails, OSError if other processes hold all slots."""
+        """`zones`: the names of the zones, by number.
+
+        Raises JournalUnavailableError if the system fails, OSError if other processes hold all slots.
+        """
         self.folder, self._files = folder, files or SystemFiles()
         self.truncated_bytes = 0  # bytes at the ends of files that were no complete records
         self.time = ProcessTime(clock or SystemClocks())
         self._opening_stamp = self.time.stamp()  # the time base for what is found in the folder
         self._last_stamp: Stamp | None = None  # the last one that this process wrote to the file
+        self.zones = ZoneNames(zones)
+        self._written_zones: list[str] = []  # that hold at the end of the file
         self._encoder = MessageEncoder()  # knows the class definitions that hold at the end of the file
         self._max_bytes = disk_bytes
         self._slots = slots
@@ -161,8 +169,9 @@
 
     def _read(self, content: bytes, now: Stamp) -> tuple[JournalContents, int]:
         """The contents of a file, and how many bytes at its end are no complete records."""
-        contents = JournalContents(self._max_outcomes)
+        contents = JournalContents(self._max_outcomes, self.zones)
         incomplete_bytes = len(content) - contents.read(content)
+        contents.end_section()
         contents.rebase(now)
         return contents, incomplete_bytes
 
@@ -227,6 +236,7 @@
         self._close(self._file)
         self._file, self._size, self._encoder = file, len(content.records), content.encoder
         self._unwritten, self._torn, self.failing = [], False, False
+        self._written_zones = list(self.zones.names)
 
     def _replace_by(self, file: int) -> None:
         """Rename the spare file, which is open as `file`, to the journal's path. Raises OSError if it may not
@@ -252,9 +262,15 @@
         self._misplaced = False
 
     def _content(self) -> _Content:
-        clocks, encoder = record(b"C", list(self.time.stamp())), MessageEncoder()
+        begin, encoder = self._section([self.time.stamp()]), MessageEncoder()
         live = encoder.encode(self.live.values())
-        return _Content(b"".join([clocks, *outcome_records(self.outcomes.items()), live]), encoder)
+        return _Content(b"".join([begin, *outcome_records(self.outcomes.items()), live]), encoder)
+
+    def _section(self, stamps: Sequence[Stamp]) -> bytes:
+        """The records with which a section begins: the stamps, then what holds up to the next one."""
+        clocks = [record(b"C", list(one)) for one in stamps]
+        zones = [zones_record(self.zones.names)] if self.zones.names else []
+        return b"".join([*clocks, *zones])
 
     # Other slots
 
@@ -362,7 +378,7 @@
         left = _HeldSlot(self.slot, self._lock)
         self.slot, self._lock, self.path, self._spare, self._file = slot, lock, path, spare, file
         self._size, self._compacted_size, self._encoder = moved_size, 0, content.encoder
-        self._last_stamp = self.time.stamp()
+        self._last_stamp, self._written_zones = self.time.stamp(), list(self.zones.names)
         self._unwritten, self._torn, self._misplaced, self.failing = [], False, False, False
         return left
 
@@ -509,8 +525,9 @@
             stamps = self._due_stamps()
             encoder = MessageEncoder() if stamps else MessageEncoder(self._encoder.defined)
             if stamps or self._unwritten or messages:
-                before = [record(b"C", list(one)) for one in stamps]
-                content = b"".join([*before, *self._unwritten, content, encoder.encode(messages)])
+                content = b"".join([*self._unwritten, content, encoder.encode(messages)])
+            if stamps or self._written_zones != self.zones.names:
+                content = self._section(stamps) + content
             self._truncate_torn()
             self._torn = True
             write_all(self._files, self._file, content)
@@ -523,6 +540,7 @@
         self._torn = False
         self._size += len(content)
         self._unwritten, self.failing, self._encoder = [], False, encoder
+        self._written_zones = list(self.zones.names)
         if stamps:
             self._last_stamp = stamps[-1]
 
--- a/mountgauge/core/journal_records.py
+++ b/mountgauge/core/journal_records.py
@@ -5,6 +5,12 @@
 attempt never ran, `N` that the message was abandoned, `E` that it is finished.
 
 Times are in the base of the process that wrote them. A record `C` relates that base to the process's clocks.
+
+`D` defines a message class, and `Z` names the zones by number. A definition holds for the messages of that
+name that follow, the zones for the attempts that follow, both up to the next `C`. A process begins with a
+`C`, so neither holds for records of another process. Earlier builds ignore and write neither: their messages
+have a class name alone, and their zones' numbers are taken as they are.
+
 No I/O, no clock.
 """
 
@@ -14,7 +20,7 @@
 import struct
 import zlib
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from functools import cache
 from typing import Any
@@ -128,10 +134,31 @@
         return b"".join(records)
 
 
+def zones_record(names: Sequence[str]) -> bytes:
+    """Encode the names of the zones, by number."""
+    return record(b"Z", ["", list(names)])
+
+
+class ZoneNames:
+    """The zones of this process by number: those of its settings, then those that only journals have."""
+
+    def __init__(self, names: Iterable[str] = ()) -> None:
+        self.names = list(names)
+
+    def number(self, name: str) -> int:
+        """The number of a zone, which is a new one if the name is unknown."""
+        if name not in self.names:
+            self.names.append(name)
+        return self.names.index(name)
+
+
 class JournalContents:
     """The state after applying records in order: the live messages, and the last outcomes."""
 
-    def __init__(self, max_outcomes: int) -> None:
+    def __init__(self, max_outcomes: int, zones: ZoneNames | None = None) -> None:
+        """`zones`: the numbers that the attempts' zones get."""
+        self._zones = zones or ZoneNames()
+        self._zone_numbers: list[int] | None = None  # since the last stamp, by number in the file
         self.live, self.outcomes = dict[str, StoredMessage](), OrderedDict[str, MessageOutcome]()
         self._max_outcomes = max_outcomes
         self._stamp: Stamp | None = None  # the last one read
@@ -157,7 +184,10 @@
             if kind == b"C":
                 boot, wall, monotonic, base = head
                 self.rebase(Stamp(str(boot), float(wall), float(monotonic), float(base)))
-                self._defined = {}
+                self.end_section()
+                return True
+            if kind == b"Z":
+                self._zone_numbers = [self._zones.number(str(name)) for name in head[1]]
                 return True
             if kind == b"D":
                 _, class_name, definition = head
@@ -173,6 +203,15 @@
             return False
         return True
 
+    def end_section(self) -> None:
+        """What was defined before holds no longer."""
+        self._defined, self._zone_numbers = {}, None
+
+    def _zone(self, number: int) -> int:
+        """The number of a zone in this process, for its number in the file."""
+        known = self._zone_numbers
+        return known[number] if known is not None and 0 <= number < len(known) else number
+
     def _note_past(self, time: float) -> None:
         self._newest_past = max(self._newest_past, time)
 
@@ -202,7 +241,7 @@
             return
         elif kind == b"A":
             stored.attempts += 1
-            stored.maybe_ran.append((float(head[1]), int(head[2])))
+            stored.maybe_ran.append((float(head[1]), self._zone(int(head[2]))))
         elif kind == b"O" and stored.maybe_ran:
             stored.maybe_ran.pop()
         elif kind == b"N":
@@ -213,7 +252,7 @@
         if msg_id in self.outcomes:  # an outdated copy, from a journal that was adopted twice
             return
         unreported = MessageOutcome(Status(notice[0]), notice[1]) if notice else None
-        times = [(float(at), int(zone)) for at, zone in ran]
+        times = [(float(at), self._zone(int(zone))) for at, zone in ran]
         stored = StoredMessage(
             msg_id, class_name, expires, dest, key, front, body, attempts, times, unreported,
             self._defined.get(class_name),
--- a/mountgauge/core/sender.py
+++ b/mountgauge/core/sender.py
@@ -8,6 +8,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from mountgauge.core import shared_waits
 from mountgauge.core.admission import Admission
@@ -223,6 +224,7 @@
 
     def restore(self, messages: list[StoredMessage]) -> None:
         """Restore the messages of another process's journal, at the start or after a hand-over."""
+        self._number_zones()
         for stored in messages:
             if stored.id in self.numbers_by_id:
                 continue
@@ -243,6 +245,12 @@
             log.info("restored", extra=kv(messages=len(messages), cut_bytes=self.journal.truncated_bytes))
         self._schedule_turn()
 
+    def _number_zones(self) -> None:
+        """Keep the numbers of zones that a journal alone names: a reload gives them to no other zone."""
+        known = tuple(self.journal.zones.names)
+        if known[: len(self.names.zones)] == self.names.zones:
+            self.names = self.admission.names = replace(self.names, zones=known)
+
     def _class_number(self, stored: StoredMessage) -> int | None:
         """The number of the class that a message was accepted with. A record of an earlier build has its name
         alone: the class that has this name now, None if there is none.
@@ -377,6 +385,7 @@
         self.policy.settings = self.rules = self.attempts.state.rules = self.admission.rules = rules
         self.table.balancers = rules.balancers
         self.names = self.admission.names = names
+        self.journal.zones.names = list(names.zones)
         self.monitor.drain_grace_s = rules.drain_grace
 
     def set_detached(self, detached: set[str]) -> None:
--- a/mountgauge/run/base.py
+++ b/mountgauge/run/base.py
@@ -116,7 +116,8 @@
         )
         self.fronts: dict[str, OutcomeReporter] = {"platform": self.notices}
         clock = LoopClock()
-        self.journal = Journal(config.state, config.limits.disk_bytes, clock=clock)
+        limits, zones = config.limits, config.names.zones
+        self.journal = Journal(config.state, limits.disk_bytes, clock=clock, zones=zones)
         policy = Policy(config.settings, config.seed)
         self.sender = Sender(policy, config.names, self.journal, clock, self.fronts)
         self.listeners: list[tuple[Listener, Address]] = []
