--- a/mountgauge/core/journal.py
+++ b/mountgauge/core/journal.py
@@ -20,13 +20,13 @@
 from mountgauge.core.durable_time import STAMP_EVERY_S, Clocks, ProcessTime, Stamp, SystemClocks
 from mountgauge.core.files import APPEND_FLAGS, TRUNCATE_FLAGS, Files, SystemFiles, write_all
 from mountgauge.core.folder_space import FolderSpace, blocks, file_blocks
+from mountgauge.core.journal_copies import Content, Copies, copies_of
 from mountgauge.core.journal_records import (
     JournalContents,
     MessageEncoder,
     StoredMessage,
     ZoneNames,
     definition_record,
-    outcome_records,
     record,
     zones_record,
 )
@@ -53,13 +53,6 @@
     """The folder cannot be read or written: the unfinished messages are unknown, and no slot is held."""
 
 
-class _Content(NamedTuple):
-    """All that a journal has to contain, and what its end defines."""
-
-    records: bytes
-    encoder: MessageEncoder
-
-
 class _HeldSlot(NamedTuple):
     """A slot, and the descriptor of its lock, which this process holds."""
 
@@ -67,24 +60,6 @@
     lock: int
 
 
-class _Copies(NamedTuple):
-    """What another journal adds to this one: outcomes, and messages that are not finished here."""
-
-    finished: dict[str, MessageOutcome]
-    messages: list[StoredMessage]
-    incomplete_bytes: int  # at the end of the other file
-
-    @property
-    def outcomes(self) -> bytes:
-        """The records of the outcomes."""
-        return b"".join(outcome_records(self.finished.items()))
-
-    @property
-    def size(self) -> int:
-        """The size of all records, at most."""
-        return len(self.outcomes) + len(MessageEncoder().encode(self.messages))
-
-
 class Journal:
     """One process's journal: a slot of the folder, held by a lock; slots of ended processes are adopted."""
 
@@ -223,7 +198,7 @@
         self._lock = lock
         return True
 
-    def _rewrite(self, content: _Content) -> None:
+    def _rewrite(self, content: Content) -> None:
         """Replace the journal's content. Raises OSError if that fails, and changes nothing."""
         file = self._files.open(self._spare, TRUNCATE_FLAGS)  # from now on other processes count the copy
         try:
@@ -261,10 +236,8 @@
             self._rewrite(self._content())
         self._misplaced = False
 
-    def _content(self) -> _Content:
-        begin, encoder = self._section([self.time.stamp()]), MessageEncoder()
-        live = encoder.encode(self.live.values())
-        return _Content(b"".join([begin, *outcome_records(self.outcomes.items()), live]), encoder)
+    def _content(self) -> Content:
+        return Content.of(self._section([self.time.stamp()]), self._contents)
 
     def _section(self, stamps: Sequence[Stamp]) -> bytes:
         """The records with which a section begins: the stamps, then what holds up to the next one."""
@@ -389,21 +362,12 @@
         if self.failing:
             raise OSError(errno.EIO, "no records can be written")
 
-    def _copies(self, content: bytes) -> _Copies:
+    def _copies(self, content: bytes) -> Copies:
         """What another journal's content adds to this one."""
         theirs, incomplete_bytes = self._read(content, self.time.stamp())
-        finished = {i: outcome for i, outcome in theirs.outcomes.items() if i not in self.outcomes}
-        messages = [one for i, one in theirs.live.items() if i not in self.outcomes and self._adds(one)]
-        return _Copies(finished, messages, incomplete_bytes)
-
-    def _adds(self, copy: StoredMessage) -> bool:
-        """Whether another journal's record says more of a message than this one's: an adoption that was
-        interrupted leaves equal records.
-        """
-        own = self.live.get(copy.id)
-        return own is None or not own.covers(copy)
+        return copies_of(theirs, incomplete_bytes, self._contents)
 
-    def _apply_copies(self, copies: _Copies) -> list[StoredMessage]:
+    def _apply_copies(self, copies: Copies) -> list[StoredMessage]:
         """Apply what another journal adds, once it is on record; returns the messages that are new here."""
         self.truncated_bytes += copies.incomplete_bytes
         for msg_id, outcome in copies.finished.items():
