The rig's mutant that takes every class for idempotent: patch where classes are read now

Changed: it patches `MessageClass.from_mapping`, which also reads the definitions on record; the oracle's test that has to detect it is unchanged.

--- a/mountgauge/lab/rig/mutants.py
+++ b/mountgauge/lab/rig/mutants.py
@@ -12,6 +12,7 @@
 import asyncio
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from mountgauge import next_hops, notices
@@ -86,12 +87,12 @@
 
 def _repeats() -> None:
     """Treats every message class as idempotent."""
-    message_class = interface.MessageClass
+    read = interface.MessageClass.from_mapping
 
-    def lax(**fields: Any) -> interface.MessageClass:
-        return message_class(**{**fields, "semantics": "idempotent"})
+    def lax(raw: Any, name: str) -> interface.MessageClass:
+        return replace(read(raw, name), semantics="idempotent")
 
-    setattr(interface, "MessageClass", lax)  # noqa: B010
+    setattr(interface.MessageClass, "from_mapping", staticmethod(lax))  # noqa: B010
 
 
 def _deaf_to_waits() -> None:
