Start rigs with a copied environment, and not while a test uses up the descriptors

Cause: rigs are started by a thread. The system reads `environ` while it executes the process; pytest sets and removes PYTEST_CURRENT_TEST for each test in the main thread, and the array moves: "[Errno 14] Bad address". Beside it: two tests use up the descriptors of the same process for a moment; a rig that starts then fails, or runs with the lowered limit. Changed: a rig gets the environment that was copied as rigs were created; a lock between the thread and the two tests, which share the code for it now (tests/descriptors.py). Their checks are as they were.

--- a/tests/connections/test_hard.py
+++ b/tests/connections/test_hard.py
@@ -6,7 +6,6 @@
 import gc
 import json
 import os
-import resource
 import signal
 import socket
 import struct
@@ -40,6 +39,7 @@
 from mountgauge.otlp import encode
 from mountgauge.snapshot import Snapshot
 from mountgauge.status import fetch_status
+from tests.descriptors import no_descriptors_left
 from tests.helper import HOST, HttpHop, receive, run, until
 from tests.helper import Transport as Recorder
 from tests.test_amqp_states import GRADE, decode_methods
@@ -209,29 +209,18 @@
 
 def test_without_descriptors_a_client_is_rejected_and_accepting_continues() -> None:
     async def main() -> None:
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         async with clients_connected(3) as clients:
             late = [socket.socket() for _ in range(5)]
             for sock in late:
                 sock.setblocking(False)
             clients.socks += late
-            top = max(int(fd) for fd in os.listdir("/proc/self/fd"))
-            fill: list[int] = []
-            resource.setrlimit(resource.RLIMIT_NOFILE, (top + 1, hard))
-            try:
-                with suppress(OSError):  # use up every descriptor below the limit
-                    while True:
-                        fill.append(os.open(os.devnull, os.O_RDONLY))
+            with no_descriptors_left():
                 for sock in late:
                     sock.connect_ex((HOST, clients.front.port))
                 assert (await clients.receive(late[0])).startswith(b"-BUSY ")
                 clients.socks[0].send(enqueue())  # existing connections are still served
                 assert await clients.receive(clients.socks[0]) == b"+OK\r\n"
                 await until(lambda: clients.front.counts["clients", "turned-away-descriptors"] >= 2)
-            finally:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-                for fd in fill:
-                    os.close(fd)
             again = socket.create_connection((HOST, clients.front.port))
             again.setblocking(False)
             clients.socks.append(again)
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import shutil
 import subprocess
 import sys
@@ -22,6 +23,7 @@
 from mountgauge.lab.rig.starvation import MAX_WAITED_SHARE, share
 from mountgauge.lab.soak.mutants import MUTANTS as GUARD_MUTANTS
 from mountgauge.lab.soak.verdict import verdict
+from tests.descriptors import DESCRIPTOR_LOCK
 
 EXPERIMENTS = Path(__file__).parent.parent / "experiments"
 EVERY_RULE = EXPERIMENTS / "rig" / "every-rule.toml"
@@ -104,6 +106,9 @@
         self._thread: threading.Thread | None = None
         self._done: dict[str, threading.Event] = {}
         self._errors: dict[str, Exception] = {}  # by batch: what ended it early
+        # A copy, made where rigs are created: the system reads the environment of a new process while
+        # pytest and tests set and remove variables in another thread.
+        self._environment = dict(os.environ)
         self.failed: list[str] = []
         self.starved: dict[str, list[float]] = {}  # by rig: its senders' waited share in each play
 
@@ -155,13 +160,15 @@
         """Repeat a play alone while its senders are starved, whatever it served."""
         shares = self.starved[name] = [self._share(batch, name)]
         while shares[-1] > MAX_WAITED_SHARE and len(shares) < _MAX_PLAYS:
-            shutil.move(self.folder / name, _starved(self.folder, name, len(shares)))
+            with DESCRIPTOR_LOCK:
+                shutil.move(self.folder / name, _starved(self.folder, name, len(shares)))
             self._wait({name: self._scene(batch, name)})
             shares.append(self._share(batch, name))
 
     def _share(self, batch: str, name: str) -> float:
-        schedule = load(_file(batch, name))
-        events = read(self.folder / name / "events.jsonl")
+        with DESCRIPTOR_LOCK:
+            schedule = load(_file(batch, name))
+            events = read(self.folder / name / "events.jsonl")
         return share(events, schedule.fleet.members, _PLAYED[batch][name])
 
     def report(self) -> list[str]:
@@ -191,12 +198,18 @@
 
     def _rig(self, file: Path, name: str, seconds: float, *mutant: str) -> subprocess.Popen[bytes]:
         args = [str(file), str(self.folder / name), str(seconds), *mutant]
-        return subprocess.Popen([sys.executable, "-c", _CODE, *args])
+        return self.start_python([_CODE, *args])
 
     def _soak(self, name: str, members: int, seconds: float, dense: bool = False) -> subprocess.Popen[bytes]:
         mutant = name if name in GUARD_MUTANTS else ""
         args = [str(SOAK_SEED), str(members), str(seconds), str(self.folder / f"soak-{name}"), mutant]
-        return subprocess.Popen([sys.executable, "-c", _SOAK_CODE, *args, "dense" if dense else ""])
+        return self.start_python([_SOAK_CODE, *args, "dense" if dense else ""])
+
+    def start_python(self, arguments: Sequence[str], stdout: int | None = None) -> subprocess.Popen[bytes]:
+        """Start Python with this code and its arguments, whatever a test does meanwhile in this process."""
+        command = [sys.executable, "-c", *arguments]
+        with DESCRIPTOR_LOCK:
+            return subprocess.Popen(command, stdout=stdout, env=self._environment)
 
     @property
     def folder(self) -> Path:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -5,8 +5,6 @@
 import asyncio
 import contextlib
 import errno
-import os
-import resource
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
@@ -33,6 +31,7 @@
 from rillspindle.interface import Outcome
 from tests.connections.test_hard import SETTINGS
 from tests.crossings.test_attempts import Peer, kept
+from tests.descriptors import no_descriptors_left
 from tests.helper import HOST, Broker, HttpHop, HttpServer, SenderHarness, until
 from tests.system_call_faults import (
     BROKEN,
@@ -273,14 +272,7 @@
         hops = HttpNextHops(owner, 2.0, 60.0, 8)
         idle = await kept(first, hops, owner)
         second = Peer()
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        fill: list[int] = []
-        top = max(int(fd) for fd in os.listdir("/proc/self/fd"))
-        resource.setrlimit(resource.RLIMIT_NOFILE, (top + 1, hard))
-        try:
-            with contextlib.suppress(OSError):
-                while True:
-                    fill.append(os.open(os.devnull, os.O_RDONLY))
+        with no_descriptors_left():
             hops.start(call(second.port, limit=5.0))
             await until(lambda: hops._pool.is_empty and hops._pool.open == 1)
             assert await loop.sock_recv(idle, 1) == b"", "the idle connection was closed"
@@ -289,10 +281,6 @@
             await second.call(sock)
             sock.send(response(200, "OK", {}, b""))
             assert await finished(owner) == {0: AttemptResult(Outcome.OK)}
-        finally:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-            for fd in fill:
-                os.close(fd)
         hops.close()
         for one in (sock, first.listener, second.listener):
             one.close()
