Count the time without a call to discovery also where lists are requested

Seen: a process is suspended behind an answer, an endpoint drains, the next call is lost: calls to it begin until 0.788 s after the grace (askWithin 0.5 s). Cause: with no call open a change counts askWithin after it was made. The lease knew of times without a call only where lists are pushed (not_asked_s was infinite elsewhere), so an old answer that is read late, and a call at once, looked in time. Changed: LeaseTerms.unasked_s; the time without a call begins when the socket was last found empty and ends with the next attempt. From askWithin on only an answer to a later call restores the list. Measured: tests/platform green. Price: none with askWithin above 6.1 s; below it a process that was suspended for askWithin sends nothing for one answer.

--- a/mountgauge/core/list_lease.py
+++ b/mountgauge/core/list_lease.py
@@ -25,8 +25,8 @@
 or breaks them later. Answers that are lost in a row for longer than that are taken for an outage.
 
 A source that has moved to another address counts as having reported everything `moved_s` later, whatever was
-known of the old one. A source that pushes counts as having reported everything at once if no call to it is
-open.
+known of the old one. While no call to a source is open, what it has counts as reported at once if it pushes,
+otherwise once it has had that for `unasked_s` without a further call.
 """
 
 from __future__ import annotations
@@ -66,7 +66,9 @@
     """What is known of an answer that was not applied."""
 
     POSSIBLE = 1  # it may never have been written
-    CERTAIN = 2  # part of it had arrived, or it reported a change without naming the endpoint
+    # Part of it had arrived, or it reported a change without naming the endpoint, or a change may have
+    # counted for lack of a call: no refusal disproves that.
+    CERTAIN = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +80,7 @@
     notified_after_move_s: float = inf  # after a move of the source
     pushed: bool = False  # what the source has counts as notified, requested or not
     resumes: bool = False  # a refusal also renews an expired lease
+    unasked_s: float = inf  # after which a change counts as notified while no call is made; not if pushed
 
     @property
     def spare_s(self) -> float:
@@ -97,7 +100,14 @@
     @property
     def not_asked_s(self) -> float:
         """The maximum time with no call open."""
-        return self.spare_s if self.pushed else inf
+        return self.spare_s if self.pushed else self.unasked_s
+
+    @property
+    def not_asked_loss(self) -> Loss:
+        """What is known of the changes after a longer time with no call open. A source that pushes may have
+        had none if it refuses the next call.
+        """
+        return Loss.POSSIBLE if self.pushed else Loss.CERTAIN
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +233,7 @@
         """
         since, self._no_call_since = self._no_call_since, None
         if since is not None and now - since >= self.terms.not_asked_s:
-            self.answer_lost(Loss.POSSIBLE, made_at)
+            self.answer_lost(self.terms.not_asked_loss, made_at)
 
     def no_call_open(self, since: float) -> None:
         """Note that no call is open, possibly since that time; of two such times the earlier one counts."""
--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -234,7 +234,8 @@
 
     def request_blocked(self, now: float) -> None:
         """The request of the newest call is buffered, as the socket does not accept it."""
-        self._lease.no_call_open(now)
+        if self.bounds.pushed:
+            self._lease.no_call_open(now)
 
     def request_flushed(self, call: ListCall, now: float) -> None:
         """The buffered request of this call has been sent in full."""
@@ -294,20 +295,26 @@
         return True
 
     def _check_coverage(self, call: ListCall, written_after: float, now: float) -> None:
-        """Record a possible loss if no call was in flight for too long; only where an agent pushes lists.
+        """Record a loss if no call was in flight for too long.
 
         This call was answered at an unknown time after `written_after`, however late the answer is read. The
-        next call covers the time from when its request was sent.
+        next call covers the time after it from its begin.
         """
-        if not self.bounds.pushed:
-            return
         uncovered_since = min(now, written_after)
-        newer = [other for other in self._connected_at if other.number > call.number]
-        if not newer:
+        newer = {other: self._begin_of(other) for other in self._open if other.number > call.number}
+        begins = {other: begin for other, begin in newer.items() if begin is not None}
+        if not begins:
             self._lease.no_call_open(uncovered_since)
-        covered_from = min((self._connected_at[other] for other in newer), default=now)
+        covered_from = min(begins.values(), default=now)
         if covered_from - uncovered_since >= self._lease.terms.not_asked_s:
-            self._lease.answer_lost(Loss.POSSIBLE, min((other.made_at for other in newer), default=now))
+            lost_at = min((other.made_at for other in begins), default=now)
+            self._lease.answer_lost(self._lease.terms.not_asked_loss, lost_at)
+
+    def _begin_of(self, call: ListCall) -> float | None:
+        """When an open call began; None if it has not. An agent learns of a call as it gets the request.
+        Where lists are requested, the rule counts from the attempt, also if no connection is established.
+        """
+        return self._connected_at.get(call) if self.bounds.pushed else call.made_at
 
     def failed(self, call: ListCall, failure: Failure, now: float) -> None:
         """The call ended without a list."""
@@ -424,6 +431,9 @@
 
     def _create_call(self, now: float, version: int) -> ListCall:
         state = self._since_answer
+        if not self.bounds.pushed:
+            self._lease.call_made(now, now)
+            state.short_calls_only = state.short_calls_only or self._lease.lacks_answer
         self._number += 1
         index = None if self._full_list_needed or version < 0 else version
         wait = SHORT_WAIT_S if state.short_calls_only or index is None else self._watch_wait_s(now)
@@ -471,7 +481,8 @@
 
     def _remove(self, call: ListCall, now: float) -> None:
         self._open.remove(call)
-        if self._connected_at.pop(call, None) is not None and not self._connected_at:
+        was_connected = self._connected_at.pop(call, None) is not None
+        if was_connected and not self._connected_at and self.bounds.pushed:
             self._lease.no_call_open(now)
 
     def _drop(self, calls: list[ListCall], reason: DropReason, now: float) -> None:
--- a/mountgauge/platform/watch_bounds.py
+++ b/mountgauge/platform/watch_bounds.py
@@ -44,7 +44,8 @@
   could send again.
 
 `askWithin` is a further bound: after a failed call the rule allows a list for four times `askWithin`, so
-small values of it scale down all of these figures.
+small values of it scale down all of these figures. After a call that was answered it allows `askWithin` until
+the next one, which a process can miss that was suspended meanwhile.
 """
 
 from __future__ import annotations
@@ -155,7 +156,11 @@
                 else PUSHED_REPEAT_PAUSE_S
             ),
             lease=LeaseTerms(
-                known_within, rules.drain_grace, NOTIFIED_AFTER_MOVE_S, pushed=not rules.subscribe
+                known_within,
+                rules.drain_grace,
+                NOTIFIED_AFTER_MOVE_S,
+                pushed=not rules.subscribe,
+                unasked_s=rules.ask_within,
             ),
         )
 
--- a/tests/platform/test_list_lease.py
+++ b/tests/platform/test_list_lease.py
@@ -666,7 +666,8 @@
     env = settings(balancers=senders, discovery=mode)
     env["obligations"] |= {"askWithin": ask_within_s, "drainGrace": GRACE_S}
     found = WatchBounds.of(Settings.from_mapping(env))
-    assert found.lease == LeaseTerms(known_s, GRACE_S, MOVED_S, pushed=mode == "automatic")
+    pushed = mode == "automatic"
+    assert found.lease == LeaseTerms(known_s, GRACE_S, MOVED_S, pushed, unasked_s=ask_within_s)
     watch_s = found.wait_s + ANSWER_MARGIN_S
     assert mode == "automatic" or found.wait_s <= ask_within_s
     assert known_s < 6.0 or watch_s + found.silent_hedge_delay_s < found.lease.term_s, "replaced in time"
