A discovery that has refused connections and then rejects a call is back

Seen: discovery is down and refuses connections, returns, and rejects calls in the crowd: calls to an endpoint that drained after the return went on for 3.76 s beyond the grace (askWithin 1 s, a crowd of 8 s). Cause: after discovery has ended a watch each 503 counted as the same outage and renewed the lease. One that refused connections and now answers is running: the outage is over, and from then on the time of the rule counts. Changed: DiscoveryWatch._note_refusal.

--- a/mountgauge/platform/watch.py
+++ b/mountgauge/platform/watch.py
@@ -62,6 +62,7 @@
     losses: int = 0  # consecutive answers that may have been lost
     repeats: int = 0  # consecutive watches that were answered at once without changes
     down: bool = False  # discovery ended a watch that it had accepted, and has refused all calls since
+    refuses_connections: bool = False  # it did so without accepting connections
     crowded: bool = False  # discovery has rejected a call, and did not do so as it went down
 
 
@@ -355,6 +356,7 @@
             return True
         if self._was_accepted_watch(call, now):
             self._since_answer.down = True
+        self._note_refusal(failure)
         if failure is Failure.BROKEN:
             alone = not self._connected_at.keys() - {call}
             return self._lease.call_broke(call.made_at, now, alone and self._since_answer.down)
@@ -365,6 +367,14 @@
             self._lease.refused_at_start()
         return False
 
+    def _note_refusal(self, failure: Failure) -> None:
+        """Note how discovery refuses calls. One that has refused connections and rejects a call is back."""
+        state = self._since_answer
+        if failure is Failure.REFUSED:
+            state.refuses_connections = True
+        elif failure is Failure.BUSY and state.refuses_connections:
+            state.down = state.refuses_connections = False
+
     def _was_accepted_watch(self, call: ListCall, now: float) -> bool:
         """Whether the call was a watch that discovery had accepted, and that it has now ended.
 
--- a/tests/platform/test_drain_schedules.py
+++ b/tests/platform/test_drain_schedules.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.platform.reference import Change, Loss, Pause, Schedule, State
+from tests.platform.reference import Change, Loss, Outage, OutageKind, Pause, Schedule, State
 from tests.platform.simulation import play
 from tests.platform.test_drain_property import late_bytes
 
@@ -26,3 +26,21 @@
         ),
     )
     assert not late_bytes(schedule, play(schedule))
+
+
+def test_a_drain_is_obeyed_that_begins_as_a_refusing_discovery_returns_crowded() -> None:
+    """Discovery is down and refuses connections; it returns and rejects calls, as it has too many."""
+    schedule = Schedule(
+        balancers=1,
+        ask_within_s=1.0,
+        pushed=False,
+        hold_up_s=0.0,
+        connect_s=0.0,
+        seed=1,
+        events=(
+            Outage(0.51, 0.81, OutageKind.REFUSING),
+            Outage(0.82, 8.82, OutageKind.OVERLOADED),
+            Change(0.822, "a", State.LEAVING),
+        ),
+    )
+    assert not late_bytes(schedule, play(schedule))
