Limit HTTP heads in bytes, and a relay's incomplete requests together

Cause: a head was limited by its lines and each line by its length, not both together; a relay had no common limit for incomplete requests, and a long poll kept its request's body and headers until its answer. Changed: a head with its trailers holds 32 KiB at most, for every reader of HTTP (relays, consoles, status pages, partners' and discovery's answers). A relay counts incomplete requests against all_unread_mb and drops the peer with the largest; a request that waits holds neither headers nor body. Measured: tests/test_http1.py and tests/sharding/test_relay_server.py; before, the parser took heads of 100 lines of 16 kB and the relay had no such count.

--- a/mountgauge/http1.py
+++ b/mountgauge/http1.py
@@ -18,6 +18,7 @@
 
 _MAX_LINE_BYTES = 16 * 1024
 _MAX_HEADERS = 100
+MAX_HEAD_BYTES = 32 * 1024  # of all lines of a message's head and trailers together
 _MAX_LENGTH_DIGITS = 15  # more than any permitted length needs, few enough for int() to be fast
 _RECEIVE_BUFFER = bytearray(64 * 1024)  # shared: the data is copied out before the event loop reads again
 
@@ -71,6 +72,7 @@
         self._remaining = 0  # bytes still to be received of the body, or of its current chunk
         self._mode = "head"  # head, length, chunk-size, chunk, chunk-end, trailer, close
         self._lines = 0  # of the current head, or of the trailers
+        self._line_bytes = 0  # of the current message's head and trailers
         self.error: HttpError | None = None
 
     @property
@@ -78,6 +80,11 @@
         """Whether nothing of a next message has been received."""
         return not self._buffer and self.current.start is None and self.error is None
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes received of a message that is not complete."""
+        return len(self._buffer) + self._line_bytes + len(self.current.body)
+
     def feed(self, data: bytes | memoryview) -> list[Message]:
         """Parse more data and return the messages that it completes.
 
@@ -101,6 +108,7 @@
                 if self._requests or self.current.status >= 200:
                     done.append(self.current)
                 self.current, self._mode = Message(), "head"
+                self._lines = self._line_bytes = 0
         return done
 
     def end(self) -> Message | None:
@@ -139,16 +147,19 @@
                 raise HttpError("chunk without an end")
             self._mode = "chunk-size"
         elif not line:  # trailer
-            self.current.complete, self._lines = True, 0
+            self.current.complete = True
         else:
-            self._count_line("trailers")
+            self._count_line(line, "trailers")
         return True
 
-    def _count_line(self, what: str) -> None:
+    def _count_line(self, line: str, what: str) -> None:
         """Count a line, whatever is in it: repeated names and empty lines would otherwise have no limit."""
         self._lines += 1
+        self._line_bytes += len(line)
         if self._lines > _MAX_HEADERS:
             raise HttpError(f"too many {what}")
+        if self._line_bytes > MAX_HEAD_BYTES:
+            raise HttpError(f"{what} too large")
 
     def _check_body_size(self, more: int) -> None:
         if more < 0 or len(self.current.body) + more > self._max_body_bytes:
@@ -173,12 +184,12 @@
         if message.start is None:
             if line:
                 self._start_line(line)
-                self._lines = 0
+                self._lines, self._line_bytes = 0, len(line)
             else:
-                self._count_line("empty lines")
+                self._count_line(line, "empty lines")
             return
         if line:
-            self._count_line("headers")
+            self._count_line(line, "headers")
             name, colon, value = line.partition(":")
             if not colon or not name or name != name.strip():
                 raise HttpError("bad header")
--- a/mountgauge/relay/server.py
+++ b/mountgauge/relay/server.py
@@ -39,6 +39,7 @@
     PIPELINED = "pipelined"  # a request was sent before the previous one was answered
     IDLE = "idle"  # no request for too long
     UNFINISHED = "unfinished"  # a request was started but not completed in time
+    TOO_MANY_BYTES = "too-many-bytes"  # incomplete requests take too much memory, and it has the largest one
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +49,7 @@
     connections: int = 4096
     request_bytes: int = 256 * 1024
     unread_bytes: int = 16 << 20  # buffered for one peer at most
-    all_unread_bytes: int = 64 << 20  # buffered for all peers together at most
+    all_unread_bytes: int = 64 << 20  # buffered for all peers together at most, and again of their requests
     read_s: float = 10.0  # for a peer to read its answer
     request_s: float = 5.0  # from the first byte of a request to its last
     idle_s: float = 90.0  # for which a connection may stay open without a request
@@ -67,11 +68,12 @@
 class Exchange:
     """A request and its one answer."""
 
-    __slots__ = ("_connection", "on_disconnect", "request")
+    __slots__ = ("_connection", "_keep_alive", "on_disconnect", "request")
 
     def __init__(self, connection: PollConnection, request: Message) -> None:
         self._connection: PollConnection | None = connection
-        self.request = request
+        self.request = request  # its headers and its body only until `handle` returns
+        self._keep_alive = request.keep_alive
         self.on_disconnect: Callable[[], None] | None = None  # called if the peer leaves before its answer
 
     @property
@@ -94,7 +96,7 @@
         connection, self._connection = self._connection, None
         self.on_disconnect = None
         if connection is not None:
-            connection.write_answer(status, body, self.request.keep_alive)
+            connection.write_answer(status, body, self._keep_alive)
 
     def disconnected(self) -> None:
         """Detach from the closed connection and call `on_disconnect` once."""
@@ -116,6 +118,7 @@
         self._exchange: Exchange | None = None
         self._deadline: asyncio.TimerHandle | None = None
         self.unread_bytes = 0  # of the answer, as included in the server's total
+        self.incomplete_bytes = 0  # of the request, as included in the server's total
 
     # Transport callbacks
 
@@ -148,7 +151,10 @@
         if not requests:
             if self.state is ConnectionState.IDLE and not self._parser.clean:
                 self._enter(ConnectionState.RECEIVING)
+            self._count_incomplete(self._parser.held_bytes)
+            self._server.enforce_incomplete_limit()
             return
+        self._count_incomplete(0)
         if len(requests) > 1 or not self._parser.clean:
             self.drop(Drop.PIPELINED)
             return
@@ -180,6 +186,7 @@
         self._server.counts["requests"] += 1
         exchange = self._exchange = Exchange(self, request)
         self._server.handle(exchange)
+        request.body, request.headers = bytearray(), {}  # a long poll may wait for a minute
 
     def write_answer(self, status: int, body: bytes, keep_alive: bool) -> None:
         """Write the answer to the pending request."""
@@ -209,6 +216,11 @@
         self._server.unread_bytes += size - self.unread_bytes
         self.unread_bytes = size
 
+    def _count_incomplete(self, size: int) -> None:
+        """Update the server's total."""
+        self._server.incomplete_bytes += size - self.incomplete_bytes
+        self.incomplete_bytes = size
+
     def _reject(self, status: int, error: HttpError) -> None:
         assert self._transport is not None
         self._server.dropped(Drop.UNREADABLE, str(error))
@@ -250,6 +262,7 @@
         if self._deadline is not None:
             self._deadline.cancel()
         self._count_unread(0)
+        self._count_incomplete(0)
         self._server.connections.discard(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -266,6 +279,7 @@
         self.drops: Counter[Drop] = Counter()
         self._server: asyncio.Server | None = None
         self.unread_bytes = 0  # buffered for all peers together
+        self.incomplete_bytes = 0  # received from all peers together of incomplete requests
         self.state_limits = {
             ConnectionState.IDLE: (limits.idle_s, Drop.IDLE),
             ConnectionState.RECEIVING: (limits.request_s, Drop.UNFINISHED),
@@ -295,6 +309,11 @@
                 return
             one.drop(Drop.SLOW_READER)
 
+    def enforce_incomplete_limit(self) -> None:
+        """Drop the peers with the largest incomplete requests until the total is within its limit."""
+        while self.incomplete_bytes > self.limits.all_unread_bytes:
+            max(self.connections, key=lambda one: one.incomplete_bytes).drop(Drop.TOO_MANY_BYTES)
+
     def dropped(self, reason: Drop, detail: str = "") -> None:
         """Count a connection that this side closed; log at most one line per reason and interval."""
         self.drops[reason] += 1
--- a/tests/sharding/test_relay_server.py
+++ b/tests/sharding/test_relay_server.py
@@ -145,3 +145,50 @@
         server.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    "begin",
+    [
+        GET[:-2] + b"x-a: 1\r\n" * 90 + b"x-b: " + b"2" * 9_000,  # inside a head
+        b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + b"x" * 60_000,  # inside a body
+    ],
+)
+def test_incomplete_requests_of_all_peers_are_limited_together(begin: bytes) -> None:
+    """Guards against hundreds of peers that stop inside a large request: only answers had a common limit."""
+
+    async def main() -> None:
+        limit = 1 << 20
+        server, _ = await start_server(ServerLimits(all_unread_bytes=limit))
+        writers = [(await send_request(server.port, begin))[1] for _ in range(200)]
+        drops, all_bytes = server.drops, len(begin) - 300  # without the ends of lines
+        await until(lambda: len(server.connections) + drops[Drop.TOO_MANY_BYTES] == len(writers))
+        await until(lambda: all(one.incomplete_bytes > all_bytes for one in server.connections))
+        assert limit - len(begin) < server.incomplete_bytes <= limit, "no more are dropped than needed"
+        assert server.incomplete_bytes == sum(one.incomplete_bytes for one in server.connections)
+        client = Client(HOST, server.port)
+        with pytest.raises(TimeoutError):  # accepted: the test's handler does not answer it
+            await client.exchange(GET, 0.2)
+        assert server.counts["requests"] == 1
+        for writer in writers:
+            writer.close()
+        client.close()
+        server.close()
+
+    run(main())
+
+
+def test_a_request_that_waits_for_its_answer_holds_no_body() -> None:
+    """Guards against thousands of long polls that each hold their request for a minute."""
+
+    async def main() -> None:
+        server, polls = await start_server(ServerLimits())
+        ask = request("POST", "/poll", "relay", {"x-a": "1" * 9_000}, b"x" * 60_000)
+        _, writer = await send_request(server.port, ask)
+        await until(lambda: polls.open)
+        waiting = polls.open[0].request
+        assert (len(waiting.body), waiting.headers) == (0, {}) and polls.open[0].target == "/poll"
+        writer.close()
+        server.close()
+
+    run(main())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -8,10 +8,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mountgauge.http1 import Connection, HttpError, Message, Parser, State, request, response, retry_after_s
+from mountgauge.http1 import (
+    MAX_HEAD_BYTES,
+    Connection,
+    HttpError,
+    Message,
+    Parser,
+    State,
+    request,
+    response,
+    retry_after_s,
+)
 from tests.helper import Transport, receive
 
 BODIES = st.binary(max_size=300)
+CHUNKED_REQUEST = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"  # up to its trailers
 
 
 @settings(derandomize=True, deadline=None)
@@ -120,7 +131,7 @@
     [
         (b"x-same: 1\r\n", b"GET / HTTP/1.1\r\n"),  # one name again and again
         (b"\r\n", b""),  # before the first line
-        (b"x-same: 1\r\n", b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"),
+        (b"x-same: 1\r\n", CHUNKED_REQUEST),
     ],
 )
 def test_lines_are_limited_whatever_is_in_them(line: bytes, first: bytes) -> None:
@@ -135,3 +146,19 @@
 def test_each_message_has_all_its_lines() -> None:
     head = b"\r\n\r\nGET / HTTP/1.1\r\n" + b"".join(b"x-%d: 1\r\n" % n for n in range(90)) + b"\r\n"
     assert len(Parser(requests=True).feed(head * 3)) == 3
+
+
+@pytest.mark.parametrize("first", [b"GET / HTTP/1.1\r\n", CHUNKED_REQUEST])
+def test_a_head_is_limited_in_bytes(first: bytes) -> None:
+    """Guards against heads of few but long lines: a hundred of 16 kB on each of some hundred connections."""
+    parser, line = Parser(requests=True), b"x-%d: " + b"v" * 4000 + b"\r\n"
+    parser.feed(first)
+    with pytest.raises(HttpError, match="too large"):
+        for n in range(50):
+            parser.feed(line % n)
+            assert parser.held_bytes <= MAX_HEAD_BYTES + len(line)
+
+
+def test_a_message_with_a_long_head_is_complete() -> None:
+    head = b"GET / HTTP/1.1\r\n" + b"".join(b"x-%d: %s\r\n" % (n, b"v" * 4000) for n in range(7)) + b"\r\n"
+    assert len(Parser(requests=True).feed(head * 3)) == 3
