--- a/mountgauge/relay/server.py
+++ b/mountgauge/relay/server.py
@@ -91,6 +91,13 @@
         """The request's path with its query."""
         return self.request.start[1] if self.request.start is not None else ""
 
+    def replace_peer_name(self, name: str) -> str:
+        """Note the name under which the peer asks; returns the one of its last request, empty if none."""
+        if self._connection is None:
+            return ""
+        before, self._connection.peer_name = self._connection.peer_name, name
+        return before
+
     def answer(self, status: int, body: bytes) -> None:
         """Send the answer; does nothing if the peer has disconnected or was answered already."""
         connection, self._connection = self._connection, None
@@ -117,6 +124,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._deadline: asyncio.TimerHandle | None = None
+        self.peer_name = ""  # under which the peer has asked
         self.unread_bytes = 0  # of the answer, as included in the server's total
         self.incomplete_bytes = 0  # of the request, as included in the server's total
 
--- a/mountgauge/relay/service.py
+++ b/mountgauge/relay/service.py
@@ -139,6 +139,9 @@
             exchange.answer(*wire.encode_error(error))
             return
         now = self._loop.time()
+        before = exchange.replace_peer_name(ask.asker)
+        if before not in ("", ask.asker):  # else a peer could reserve all snapshots, under ever new names
+            self.relay.asker_gone(before)
         reply = self.relay.ask(ask, now)
         if not isinstance(reply, HeldAsk):
             self._answer(exchange, reply)
--- a/mountgauge/sharding/admission.py
+++ b/mountgauge/sharding/admission.py
@@ -54,6 +54,12 @@
         self._slots[asker] = _Slot(self._next_free, missing)
         return Admitted(reserved, self._next_free - now)
 
+    def release(self, asker: str) -> None:
+        """Give up the slot of an asker that will not return. The last one's time is free again."""
+        slot = self._slots.pop(asker, None)
+        if slot is not None and slot.at == self._next_free:
+            self._next_free -= slot.snapshots / self._per_s
+
     def _remove_expired(self, now: float) -> None:
         """Remove slots whose askers never returned."""
         for asker, slot in list(self._slots.items()):
--- a/mountgauge/sharding/relay.py
+++ b/mountgauge/sharding/relay.py
@@ -166,6 +166,10 @@
         """Discard a held ask, whose asker has disconnected."""
         self._release(number)
 
+    def asker_gone(self, asker: str) -> None:
+        """Give up what is reserved for an asker, whose connection is used under another name now."""
+        self._admission.release(asker)
+
     def take_ready(self, now: float) -> list[tuple[int, Reply]]:
         """Return the replies to held asks that are due, by number."""
         expired = set()
--- a/tests/sharding/test_admission.py
+++ b/tests/sharding/test_admission.py
@@ -49,3 +49,16 @@
     later = 100.5 + 10 + SLOT_RETENTION_S
     admission.admit("d", 200, later)
     assert admission.admit("c", 50, later).snapshots == 0  # as at its first request
+
+
+def test_a_released_slot_delays_nobody() -> None:
+    admission = SnapshotAdmission(per_s=10, burst=10)
+    assert admission.admit("a", 10, 100.0).snapshots == 10
+    for n in range(1000):
+        assert admission.admit(f"new-{n}", 10, 100.0).retry_after_s == pytest.approx(1.0)
+        admission.release(f"new-{n}")
+    assert admission.admit("b", 5, 100.0).retry_after_s == pytest.approx(0.5)
+    assert len(admission._slots) == 1
+    admission.admit("c", 10, 100.0)
+    admission.release("b")  # not the last one: its time passes unused
+    assert admission.admit("c", 10, 101.5).snapshots == 10
--- a/tests/sharding/test_relay_service.py
+++ b/tests/sharding/test_relay_service.py
@@ -281,3 +281,28 @@
             RelayService(load_relay(file.path), seed=1)
 
     run(main())
+
+
+def test_asks_under_ever_new_names_on_one_connection_delay_no_other_asker(tmp_path: Path) -> None:
+    """Guards against a peer that reserves all snapshots of the next minutes under ever new names."""
+
+    async def main() -> None:
+        discovery = Discovery()
+        await discovery.start()
+        await discovery.change(*[endpoint_line(f"e{one}", one) for one in range(30)])
+        file = relay_file(tmp_path, discovery.port)
+        slow = replace(file.relay, snapshots_per_s=100.0, snapshot_burst=SHARDS)
+        service = await start_relay(replace(file, relay=slow))
+        positions = tuple(Position(shard) for shard in range(SHARDS))
+        client = Client(HOST, service.server.port, wire.MAX_ANSWER_BYTES)
+        for n in range(200):
+            body = wire.encode_ask(Ask(f"new-{n}", positions), SHARDS)
+            assert (await client.exchange(request("POST", wire.PATH, HOST, {}, body), 10.0)).status == 200
+        other = await send_ask(service.server.port, Ask("other", positions))
+        assert isinstance(other, Answer)
+        assert other.retry_after_s <= 2 * SHARDS / 100.0
+        client.close()
+        await service.stop()
+        await discovery.stop()
+
+    run(main())
